Keep a server whose connection broke once, and forgive ejections served

The log then says "ejected server". The limits in the log show each near server ejected in turn for up to 15 s; at 10 s the proxy sends 60 requests a second where it sent 370 before, and refuses the others from its hold.

Ruled out: the network code (the socket reports ECONNRESET after the last byte was written, on fresh connections too, so `reset` is the truth; no dial fails, no descriptor is short), CPU (0.12 s of a second at most), and retries of clients, which follow the refusals.

Lines at fault: `observe` weighed a reset twice, 2 x 0.25 = EJECT_AT, so a single one ejected; `judge_health` doubled each ejection and nothing ever set `strikes` back. A broken connection now weighs half, so a run of six ejects; a refused one keeps its weight, for then the server is down. Strikes are forgiven once the failure share is down to a tenth.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -49,12 +49,17 @@
 const PART_HOLDS: Micros = 5 * SECOND;
 /// A request without room waits this part of its time left.
 const HOLD_PART: Micros = 10;
-/// Weight of one more failure in a server's failure share, and the share at which it is ejected.
+/// Weight of one more outcome in a server's failure share, and the share at which it is ejected.
 const FAILURE_WEIGHT: f64 = 0.25;
 const EJECT_AT: f64 = 0.5;
-/// First ejection; each further one lasts twice as long, up to 2^4 times.
+/// Factors on that weight. A server that takes no connection is down; one connection that broke may have been
+/// broken by anybody on the way.
+const REFUSED_WEIGHT: f64 = 2.0;
+const BROKEN_WEIGHT: f64 = 0.5;
+/// First ejection; each further one lasts twice as long, up to 2^4 times, until failures fall to `FORGIVE_AT`.
 const EJECTION: Micros = SECOND;
 const MAX_STRIKES: u32 = 4;
+const FORGIVE_AT: f64 = 0.1;
 /// Part of the servers that may be ejected at once.
 const MAX_EJECTED: f64 = 0.6;
 /// An attempt is overdue at this multiple of its class's mean latency, between these parts of its aim.
@@ -736,7 +741,11 @@
             return;
         }
         let server = &mut self.servers[index];
-        let weight = if matches!(end.outcome, Outcome::ConnectFailed | Outcome::Reset) { 2.0 } else { 1.0 };
+        let weight = match end.outcome {
+            Outcome::ConnectFailed => REFUSED_WEIGHT,
+            Outcome::Reset => BROKEN_WEIGHT,
+            _ => 1.0,
+        };
         let target = f64::from(u8::from(failed));
         server.failures += (target - server.failures) * FAILURE_WEIGHT * weight;
         self.judge_health(now, index, failed, out);
@@ -760,6 +769,9 @@
         let may_eject = failed && ejected() < (self.ready.len() as f64 * MAX_EJECTED) as usize;
         let jitter = 0.75 + self.rng.f64() / 2.0;
         let server = &mut self.servers[index];
+        if server.failures < FORGIVE_AT {
+            server.strikes = 0;
+        }
         let was_ejected = server.ejected_until.is_some();
         let trial_failed = was_ejected && failed && server.trial_out;
         if !failed && was_ejected {
