--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -56,7 +56,7 @@
 /// broken by anybody on the way.
 const REFUSED_WEIGHT: f64 = 2.0;
 const BROKEN_WEIGHT: f64 = 0.5;
-/// First ejection; each further one lasts twice as long, up to 2^4 times, until failures fall to `FORGIVE_AT`.
+/// First ejection; each further one lasts twice as long, up to 2^4 times, until failures are `FORGIVE_AT`.
 const EJECTION: Micros = SECOND;
 const MAX_STRIKES: u32 = 4;
 const FORGIVE_AT: f64 = 0.1;
