Let no attempt that was lost on the way bar its server or hold a slot

Clients' retries triple the load.

The log of the limits shows all near servers with one to three attempts out, silent for 100 to 900 ms, and 150 requests held: at 12 s the proxy sends 140 requests a second of 3,400. The long ones are all `calibration-log`, which may not be repeated and is waited for to its deadline.

Ruled out: the connections' rest (they had rested for 20 us to 60 ms), dials (no failure), the proxy's CPU (0.2 s in its busiest second), the 6,000 client connections (300 descriptors of 1,024), the limits' level (two slots at 2 ms carry 1,000 a second), and the backends, by the latencies.

Lines at fault: `available` barred a silent server until it answered, though nothing that could be answered was sent to it any more; `pick` and the pool's bound counted lost attempts against the limit until their deadline. Where work takes a small part of the time that clients wait, a silent server now gets one trial of a request that is given up soon, and an attempt holds no slot once its server has answered one sent when it was overdue. It is still waited for. A trial is marked at the attempt, so that the end of an older one no longer counts as the trial's.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -459,11 +459,9 @@
 
     // ---- Choice of a server ----
 
-    /// Departure: where a proxy's limits add up to few slots (many proxies with little traffic each), the one
-    /// or two servers on which it holds a whole slot get all it has, and a second request at the same time
-    /// finds no room although the fleet has plenty. Its slots then spread over more servers, while the sum of
-    /// its limits, with the square root of it for the chance that requests come together, bounds what it has
-    /// out in all. The dithers keep the proxies that hold a slot on a server equally many.
+    /// Departure: where a proxy's limits add up to few slots (many proxies with little traffic each), its
+    /// slots spread over more servers, and the sum of its limits, with the square root of it for the chance
+    /// that requests come together, bounds what it has out in all.
     fn judge_pool(&mut self, now: Micros) {
         let own = self.ready.iter().map(|&s| &self.servers[s]).filter(|s| self.near(s));
         let slots = own.map(|s| s.limit).sum::<f64>();
@@ -486,6 +484,11 @@
         self.latencies[class * kinds..(class + 1) * kinds].iter().map(|l| l.mean).sum::<f64>() / kinds as f64
     }
 
+    /// Whether a class's work takes a small part of the time that clients wait.
+    fn is_quick(&self, class: usize) -> bool {
+        self.mean(class) * LOST_LEAST <= self.settings.classes[class].aim as f64 * LOST_OVER_AIM
+    }
+
     fn overdue(&self, class: usize) -> Micros {
         let aim = self.settings.classes[class].aim as f64;
         (self.mean(class) * OVERDUE_OVER_MEAN).clamp(aim * OVERDUE_OVER_AIM.0, aim * OVERDUE_OVER_AIM.1)
@@ -496,7 +499,10 @@
     fn pick(&mut self, now: Micros, slot: usize) -> Option<usize> {
         let open = &self.open[slot];
         let scope = self.scope(now, open);
-        if scope == Scope::Nowhere || self.in_flight >= self.pool.most {
+        // What is overdue was lost, or its server is barred for it.
+        let out = |&s: &usize| self.servers[s].due.iter().filter(|&&due| due >= now).count() as u32;
+        let bounded = self.pool.most < u32::MAX;
+        if scope == Scope::Nowhere || bounded && self.ready.iter().map(out).sum::<u32>() >= self.pool.most {
             return None;
         }
         // The server with most of its limit left although no whole slot, for a proxy that has nothing out.
@@ -504,6 +510,7 @@
         let part = self.pool.spread * if open.over_share { OVER_SHARE_LIMIT } else { 1.0 };
         let overdue = self.overdue(open.class);
         let repeatable = self.settings.classes[open.class].effect != Effect::Unsafe;
+        let soon_lost = repeatable && self.is_quick(open.class);
         let mut best: [Option<(i64, usize)>; 2] = [None, None];
         let mut ties = [0_u32; 2];
         for i in 0..self.ready.len() {
@@ -516,11 +523,13 @@
             };
             if !in_scope
                 || self.open[slot].attempts.iter().any(|a| a.server == index)
-                || !self.available(now, server, repeatable, overdue)
+                || !self.available(now, server, repeatable, soon_lost, overdue)
             {
                 continue;
             }
-            let room = server.slots(part) - i64::from(server.in_flight);
+            // Departure: a quick attempt that its server passed over was lost on the way; it holds no slot.
+            let taken = i64::from(server.in_flight) - server.passed_over() as i64;
+            let room = if server.is_silent(now, overdue) { 1 } else { server.slots(part) - taken };
             let left = server.limit * part + server.dither;
             if self.in_flight == 0 && left > spare.map_or(0.0, |(most, _)| most) {
                 spare = Some((left, index));
@@ -540,14 +549,14 @@
     }
 
     /// Whether a server may be chosen at all, apart from its room.
-    fn available(&self, now: Micros, server: &Server, repeatable: bool, overdue: Micros) -> bool {
+    fn available(&self, now: Micros, server: &Server, repeatable: bool, soon: bool, overdue: Micros) -> bool {
         if let Some(until) = server.ejected_until {
             // Departure: an ejected server gets one trial, of a request that can be repeated.
             return now >= until && !server.trial_out && repeatable;
         }
         // Departure: a server that owes answers and has been silent for long may hang: nothing more goes
-        // there.
-        if server.in_flight > 0 && now > server.silent_since + overdue {
+        // there. Where what it owes may have been lost on the way, it gets one trial that is given up soon.
+        if server.is_silent(now, overdue) && (server.trial_out || !soon) {
             return false;
         }
         // Departure: a server that turns requests away answers at once and so looks the emptiest of all. It
@@ -577,6 +586,9 @@
         let rested = self.connection(now, index, out);
         let cold = self.servers[index].cold;
         let tokens = cold.map(|cold| self.cold_tokens(now, &self.servers[index], &cold));
+        let class = self.open[slot].class;
+        let overdue = self.overdue(class);
+        let due = now + if self.is_quick(class) { overdue } else { self.settings.classes[class].deadline };
         let server = &mut self.servers[index];
         if let (Some(cold), Some(tokens)) = (server.cold.as_mut(), tokens) {
             *cold = ColdBudget { tokens: tokens - 1.0, filled_at: now, ..*cold };
@@ -587,43 +599,42 @@
         if server.in_flight == 0 {
             server.silent_since = now;
         }
-        server.trial_out = server.ejected_until.is_some();
+        let trial = server.ejected_until.is_some() || server.is_silent(now, overdue);
+        server.trial_out |= trial;
+        server.due.push(due);
         server.in_flight += 1;
         self.in_flight += 1;
         server.window.filled |= i64::from(server.in_flight) * 4 >= server.slots(self.pool.spread) * 3;
         let (give_up_at, early) = self.give_up_at(now, &self.open[slot]);
         let open = &mut self.open[slot];
         let state = AttemptState::Out;
-        open.attempts.push(Attempt { server: index, sent_at: now, rested, early, state });
+        open.attempts.push(Attempt { server: index, sent_at: now, rested, early, due, trial, state });
         self.servers[index].held += 1;
         let backend = self.servers[index].id;
         out.push(Action::Send { request: open.id, backend, give_up_at });
     }
 
     /// When an attempt that starts now is given up, and whether that tells that it was lost. Departure:
-    /// where work takes a small part of the time that clients wait, an attempt without an answer long after
-    /// its time is lost (its connection fell silent, say). Waited for to the deadline it would leave no time
-    /// for another one, hold its slot, and make a server that answers all else look silent.
+    /// where work is quick, an attempt that may be repeated and has no answer long after its time is lost
+    /// (its connection fell silent, say); waited for to the deadline it leaves no time for another one.
     fn give_up_at(&self, now: Micros, open: &Open) -> (Micros, bool) {
         let class = &self.settings.classes[open.class];
         let last = open.attempts.len() + 1 >= usize::from(self.settings.permissions.max_attempts);
         if last || class.effect == Effect::Unsafe || self.retry_tokens < 1.0 {
             return (open.deadline, false);
         }
-        let (mean, soon) = (self.mean(open.class), class.aim as f64 * LOST_OVER_AIM);
-        let early = mean * LOST_LEAST <= soon;
-        let lost = if early { soon } else { mean * LOST_OVER_MEAN };
+        let early = self.is_quick(open.class);
+        let lost =
+            if early { class.aim as f64 * LOST_OVER_AIM } else { self.mean(open.class) * LOST_OVER_MEAN };
         (open.deadline.min(now.saturating_add(lost as Micros)), early)
     }
 
     /// How long the connection that the next attempt on a server takes has rested; 0 for a new one. The
     /// attempts of a server take its connections from the first on, so the last ones rest longest.
     ///
-    /// Departure: something between here and a server (a firewall, a balancer's own limit) may drop a resting
-    /// connection unseen, and what is sent on it gets no answer. A connection that rested for longer than is
-    /// trusted is closed before the send. The trust starts at the time after which idle connections close by
-    /// themselves and backs off at each request that got no answer on a rested one. It can cost handshakes
-    /// where servers hang or restart.
+    /// Departure: something between here and a server may drop a resting connection unseen. One that rested
+    /// for longer than is trusted is closed before the send. The trust starts at the idle limit and backs off
+    /// at each request that got no answer on a rested one.
     fn connection(&mut self, now: Micros, index: usize, out: &mut Vec<Action>) -> Micros {
         let multiplex = self.settings.permissions.multiplex.max(1);
         let trusted = self.trusted_rest(now);
@@ -700,12 +711,11 @@
         let latency = &mut self.latencies[class * kinds + kind];
         let known = latency.base < f64::MAX || self.pool.spread > 1.0;
         let elapsed = end.elapsed as f64;
-        server.in_flight = server.in_flight.saturating_sub(1);
+        server.ended(to.due);
+        server.trial_out &= !to.trial;
         self.in_flight = self.in_flight.saturating_sub(1);
         let silent = server.silent_since <= to.sent_at;
         if end.outcome == Outcome::Moot {
-            // It was never sent: another request may be the trial of an ejected server.
-            server.trial_out = false;
             return;
         }
         let aim = self.settings.classes[class].aim as f64;
@@ -725,6 +735,7 @@
                 latency.add(elapsed, now, LATENCY_WEIGHT, BASE_DRIFT);
                 self.served.add(now);
                 server.silent_since = now;
+                server.answered = server.answered.max(to.sent_at);
                 false
             }
             // A server that answered others meanwhile is not hung; the request was heavy.
@@ -748,7 +759,7 @@
         };
         let target = f64::from(u8::from(failed));
         server.failures += (target - server.failures) * FAILURE_WEIGHT * weight;
-        self.judge_health(now, index, failed, out);
+        self.judge_health(now, index, failed, to.trial, out);
         // A spoilt answer, or one that was lost on the way, says nothing of how crowded its server is: a few
         // must not shrink the limits of all.
         if end.outcome == Outcome::Spoilt || (end.outcome == Outcome::Timeout && to.early) {
@@ -764,7 +775,7 @@
     }
 
     /// Departure: a server whose requests fail is ejected, and readmitted when a single trial succeeds.
-    fn judge_health(&mut self, now: Micros, index: usize, failed: bool, out: &mut Vec<Action>) {
+    fn judge_health(&mut self, now: Micros, index: usize, failed: bool, trial: bool, out: &mut Vec<Action>) {
         let ejected = || self.ready.iter().filter(|&&s| self.servers[s].ejected_until.is_some()).count();
         let may_eject = failed && ejected() < (self.ready.len() as f64 * MAX_EJECTED) as usize;
         let jitter = 0.75 + self.rng.f64() / 2.0;
@@ -773,15 +784,14 @@
             server.strikes = 0;
         }
         let was_ejected = server.ejected_until.is_some();
-        let trial_failed = was_ejected && failed && server.trial_out;
+        let trial_failed = was_ejected && failed && trial;
         if !failed && was_ejected {
-            (server.ejected_until, server.trial_out) = (None, false);
+            server.ejected_until = None;
             server.failures = server.failures.min(EJECT_AT * 0.6);
             out.push(Action::Log(format!("readmitted server {} after a trial", server.id)));
         } else if trial_failed || (!was_ejected && server.failures >= EJECT_AT && may_eject) {
             let time = (EJECTION << server.strikes.min(MAX_STRIKES)) as f64 * jitter;
             server.ejected_until = Some(now + time as Micros);
-            server.trial_out = false;
             server.strikes += 1;
             if !was_ejected {
                 out.push(Action::Log(format!("ejected server {}: its requests fail", server.id)));
--- a/src/state.rs
+++ b/src/state.rs
@@ -37,6 +37,10 @@
     pub(crate) held: u32,
     pub(crate) started: Option<Micros>,
     pub(crate) in_flight: u32,
+    /// When each of the attempts that are out is overdue.
+    pub(crate) due: Vec<Micros>,
+    /// The latest send that it has answered.
+    pub(crate) answered: Micros,
     pub(crate) limit: f64,
     pub(crate) dither: f64,
     /// The limit is its kind's; its own windows have not been judged.
@@ -59,6 +63,26 @@
     pub(crate) rested: Vec<Micros>,
 }
 
+impl Server {
+    /// It has owed answers for longer than `overdue` without giving any.
+    pub(crate) fn is_silent(&self, now: Micros, overdue: Micros) -> bool {
+        self.in_flight > 0 && now > self.silent_since + overdue
+    }
+
+    /// The attempts that are out although it answered one that was sent when they were overdue.
+    pub(crate) fn passed_over(&self) -> usize {
+        self.due.iter().filter(|&&due| due < self.answered).count()
+    }
+
+    /// An attempt has ended.
+    pub(crate) fn ended(&mut self, due: Micros) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if let Some(place) = self.due.iter().position(|&d| d == due) {
+            self.due.swap_remove(place);
+        }
+    }
+}
+
 /// The servers that are listed or named by an open request, each at a place that stays the same. Where ids are
 /// ever new, those that are gone must not pile up; a place is used again only when no attempt names it, for the
 /// attempt's outcome would be booked to the newcomer.
@@ -142,6 +166,10 @@
     pub(crate) rested: Micros,
     /// It is given up so late beside its work that it was lost then.
     pub(crate) early: bool,
+    /// When it is overdue.
+    pub(crate) due: Micros,
+    /// It shows whether its server is back.
+    pub(crate) trial: bool,
     pub(crate) state: AttemptState,
 }
 
