Tell every refused client when to come back

Line at fault: `answer` turned an unknown cap into 0, no word at all. The cap, where there is one, still holds.

--- a/src/api.rs
+++ b/src/api.rs
@@ -87,7 +87,7 @@
     pub conn_idle: Micros,
     /// The attempts that one connection carries at the same time.
     pub multiplex: u32,
-    /// Whether clients are given a retry-after, and the longest that they heed.
+    /// The longest retry-after that clients heed, where that is known.
     pub retry_after: Option<Micros>,
 }
 
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -388,11 +388,8 @@
         }
         let request = open.id;
         out.push(if self.may_refuse(open) {
-            let wait = self.retry_after(open.class);
-            Action::Refuse {
-                request,
-                retry_after: self.settings.permissions.retry_after.map_or(0, |m| m.min(wait)),
-            }
+            let (wait, most) = (self.retry_after(open.class), self.settings.permissions.retry_after);
+            Action::Refuse { request, retry_after: most.map_or(wait, |most| most.min(wait)) }
         } else {
             Action::Fail { request }
         });
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -577,3 +577,20 @@
     proxy.settle(id, attempt, Outcome::Error);
     proxy.advance(3 * SECOND);
 }
+
+/// Where nothing was known of how long clients heed a retry-after they were told none, and came back at once.
+#[test]
+fn a_refused_client_is_told_when_to_come_back_also_where_nothing_is_known_of_how_long_it_heeds() {
+    for (most, told) in [(None, 1..=500 * MS), (Some(30 * MS), 30 * MS..=30 * MS)] {
+        let mut settings = single_zone();
+        settings.permissions.retry_after = most;
+        let mut proxy = Proxy::new(settings, one_zone(2));
+        (0..10).for_each(|id| _ = proxy.request(request(id, 0)));
+        proxy.advance(300 * MS);
+        let mut waits = proxy.log.iter().filter_map(|(_, a)| match a {
+            Action::Refuse { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        });
+        assert!(waits.clone().next().is_some() && waits.all(|wait| told.contains(&wait)));
+    }
+}
