Leave no near server without a slot when limits are at their floor

Evidence: the limits in the log. Proxy n0 has three servers in its zone; two of them stand at the floor of 0.8 with a dither of 0, that is no slot, from 1.8 s to the end, silent for 20 s at a time and with nothing in flight. All its load goes to the third one, whose latency then keeps the limit of the kind at the floor, and servers without samples are given just that limit.

Ruled out: ejections (none there before 6 s), cold budgets (none was cold), the price of crossing (far servers idle as well), a drain (all were ready).

Line at fault: `MIN_LIMIT`, 0.8 for all proxies together. The paper's floor is a number of requests; below one, rounding down leaves a server that only this proxy uses without any, and nothing ever samples it. It is now one.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -35,9 +35,9 @@
 /// Growth of the uncrowded latency's estimate a second, so that it follows a fleet that got slower.
 const BASE_DRIFT: f64 = 0.01;
 /// Limits of all proxies together for one server: the first one, the bounds. The start must not starve large
-/// servers; the floor keeps samples coming.
+/// servers; the floor keeps samples coming, so it is a whole slot where a proxy has a server for itself.
 const INITIAL_LIMIT: f64 = 1.5;
-const MIN_LIMIT: f64 = 0.8;
+const MIN_LIMIT: f64 = 1.0;
 const MAX_LIMIT: f64 = 64.0;
 /// A bad sample (an error, say), and the most that any sample counts, as multiples of Lmax.
 const BAD_SAMPLE: f64 = 2.0;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -594,3 +594,16 @@
         assert!(waits.clone().next().is_some() && waits.all(|wait| told.contains(&wait)));
     }
 }
+
+/// At their floor, limits of 0.8 left the servers with the lowest dithers idle for good: without a slot no sample, and
+/// without samples the limit of their kind, which the few that were sent everything held down.
+#[test]
+fn limits_at_their_floor_leave_no_server_without_a_slot_that_this_proxy_has_for_itself() {
+    let mut proxy = Proxy::new(single_zone(), one_zone(4));
+    load(&mut proxy, 1000, 300, 2, |_| 20 * MS);
+    load(&mut proxy, 2000, 600, 2, |_| 450 * MS);
+    proxy.advance(2 * SECOND);
+    proxy.serve(|_| 0);
+    (0..4).for_each(|id| _ = proxy.request(request(id, 0)));
+    (0..4).for_each(|server| assert_eq!(proxy.in_flight(server), 1, "server {server}"));
+}
