Count all ready servers in the bound on what a proxy has out

From 28 s to the end proxy n1, which then has one server in its zone, shows "slots 1.00 spread 3.00 most 2": two requests in flight in all, 20 to 50 held, and seven servers of other zones with limits of 9 to 30 and nothing out for up to 15 s.

Line at fault: `judge_pool` summed the limits of the near servers alone, while the bound it makes of the sum, `most`, holds for all that is in flight. Where a zone has few servers for its proxies, as any release or crash can make it, the far ones were shut off. All ready ones count now.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -460,8 +460,7 @@
     /// slots spread over more servers, and the sum of its limits, with the square root of it for the chance
     /// that requests come together, bounds what it has out in all.
     fn judge_pool(&mut self, now: Micros) {
-        let own = self.ready.iter().map(|&s| &self.servers[s]).filter(|s| self.near(s));
-        let slots = own.map(|s| s.limit).sum::<f64>();
+        let slots = self.ready.iter().map(|&s| self.servers[s].limit).sum::<f64>();
         let turn = (f64::from(self.settings.me) * GOLDEN).fract();
         self.pool.judged_at = Some(now);
         self.pool.slots = slots;
--- a/src/state.rs
+++ b/src/state.rs
@@ -204,7 +204,7 @@
 
 /// How far a proxy with few slots spreads its requests.
 pub(crate) struct Pool {
-    /// The sum of the limits of the servers that are near.
+    /// The sum of the limits of all ready servers.
     pub(crate) slots: f64,
     /// The factor on every limit when it is rounded to slots.
     pub(crate) spread: f64,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -607,3 +607,13 @@
     (0..4).for_each(|id| _ = proxy.request(request(id, 0)));
     (0..4).for_each(|server| assert_eq!(proxy.in_flight(server), 1, "server {server}"));
 }
+
+/// A proxy with one server in its zone had two requests out at the most, however much room the other zones had.
+#[test]
+fn a_proxy_with_few_servers_near_fills_those_of_other_zones() {
+    let mut proxy = Proxy::new(settings(), [0, 1, 3, 5].map(backend));
+    (0..10).for_each(|id| _ = proxy.request(request(id, 0)));
+    for server in [0, 1, 3, 5] {
+        assert!(proxy.in_flight(server) >= 1, "server {server}");
+    }
+}
