Keep connections that break out of the windows that judge limits

Line at fault: `observe` handed a reset to `judge_window` as a bad sample. Something on the way cut the answer off; that tells nothing of how crowded the server is, as with spoilt and lost answers, which were left out already. A server that breaks all connections is ejected.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -756,13 +756,15 @@
         let target = f64::from(u8::from(failed));
         server.failures += (target - server.failures) * FAILURE_WEIGHT * weight;
         self.judge_health(now, index, failed, to.trial, out);
-        // A spoilt answer, or one that was lost on the way, says nothing of how crowded its server is: a few
-        // must not shrink the limits of all.
-        if end.outcome == Outcome::Spoilt || (end.outcome == Outcome::Timeout && to.early) {
+        // Departure: a spoilt answer, or one that was lost or cut off on the way, says nothing of how crowded
+        // its server is: a few must not shrink the limits of all.
+        if matches!(end.outcome, Outcome::Spoilt | Outcome::Reset)
+            || (end.outcome == Outcome::Timeout && to.early)
+        {
             return;
         }
-        // Errors and lost connections say nothing of how crowded the servers of a kind are.
-        let broken = matches!(end.outcome, Outcome::Error | Outcome::ConnectFailed | Outcome::Reset);
+        // Errors and refused connections say nothing of how crowded the servers of a kind are.
+        let broken = matches!(end.outcome, Outcome::Error | Outcome::ConnectFailed);
         if known && !broken {
             self.judge_kind(now, kind, sample.min(SAMPLE_CAP));
         }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -197,6 +197,28 @@
     assert!(ejected(1) > 0, "all break");
 }
 
+/// Breaks counted as twice Lmax: one in eight held the limits of all servers down for as long as they lasted.
+#[test]
+fn connections_that_break_now_and_then_lower_no_limit() {
+    let slots = |part: u32| {
+        let mut proxy = Proxy::new(single_zone(), one_zone(4));
+        for id in 0..6400 {
+            proxy.request(request(id, 1));
+            if id % 32 == 31 {
+                proxy.advance(if id < 3200 { 10 * MS } else { 17 * MS });
+                for (request, attempt, _) in proxy.out() {
+                    let broken = request % part == 0;
+                    proxy.settle(request, attempt, if broken { Outcome::Reset } else { Outcome::Ok });
+                }
+            }
+        }
+        (7000..7200).for_each(|id| _ = proxy.request(request(id, 1)));
+        proxy.out().len()
+    };
+    let (whole, broken) = (slots(u32::MAX), slots(8));
+    assert!(broken * 3 >= whole * 2, "{broken} slots where connections break, {whole} where none does");
+}
+
 /// Ejections went on doubling for as long as a server lived, however well it had served since the last one.
 #[test]
 fn a_server_that_has_served_well_again_is_ejected_for_as_short_as_the_first_time() {
