Ask discovery at the start for what is newer than the known list

Of 100 proxies that start together 13 got the list and one got its watch as well. Until the first call ends a proxy that was started again refuses `/up`, although it has a list to serve from.

Cause (`start_from`, `follow`): the version of the list that the configuration holds was thrown away. Now the first call is a watch for what is newer than that version: one call, and lines only for what has changed. The list that is known is served from at once. An answer that is older than what is held leaves that in service; the next call then asks for the whole list, since versions that begin anew are another service's.

Ruled out: that the list known at a restart is useless. It is the one that the proxy last had.

--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -57,6 +57,8 @@
     Status(StatusCode),
     /// Not the JSON that is wanted.
     Malformed(serde_json::Error),
+    /// Older than what is held.
+    Older,
 }
 
 impl fmt::Display for DiscoveryError {
@@ -66,6 +68,7 @@
             Self::Timeout => write!(f, "no answer in time"),
             Self::Status(status) => write!(f, "answered {status}"),
             Self::Malformed(error) => write!(f, "malformed list: {error}"),
+            Self::Older => write!(f, "the answer is older than what is held"),
         }
     }
 }
@@ -238,7 +241,10 @@
     /// The module's calls for changes, where discovery has to be asked.
     asked: Option<mpsc::UnboundedReceiver<()>>,
     conn: Option<Conn>,
+    /// The version of the list that is held; a watch asks for what is newer.
     revision: Option<u64>,
+    /// The last call brought an answer, so the next one continues the watch.
+    watching: bool,
     /// Discovery is at a new address: it is called without the module's asking.
     moved: bool,
     /// The list of the configuration can be served from.
@@ -255,20 +261,33 @@
         held: Rc<Cell<bool>>,
         asked: Option<mpsc::UnboundedReceiver<()>>,
     ) -> Self {
-        let (conn, revision) = (None, None);
-        Self { addresses, translator, handle, held, asked, conn, revision, moved: false, fallback: false }
+        Self {
+            addresses,
+            translator,
+            handle,
+            held,
+            asked,
+            conn: None,
+            revision: None,
+            watching: false,
+            moved: false,
+            fallback: false,
+        }
     }
 
-    /// Hands on the list that the configuration holds. It may be old: the next call asks for the whole list.
+    /// Hands on the list that the configuration holds. It may be old, but it can be served from, and the first call
+    /// asks for what is newer: where all proxies start at once, that costs discovery one call each and few lines.
     pub fn start_from(&mut self, known: Value) {
-        let entries = self.translator.list(known).map_or_else(
+        let (revision, entries) = self.translator.list(known).map_or_else(
             |error| {
                 log(format_args!("`known`: {error}"));
-                Vec::new()
+                (None, Vec::new())
             },
-            |list| list.entries,
+            |list| (list.complete.then_some(list.revision), list.entries),
         );
         self.fallback = entries.iter().any(|e| e.backend.readiness == Readiness::Ready);
+        self.revision = revision.filter(|_| self.fallback);
+        self.held.set(self.fallback);
         // Also where nothing is known: the module asks for changes when it is told so.
         self.handle.tell(Message::Listed(Scope::Cached, entries));
     }
@@ -289,19 +308,20 @@
     /// each service's own: one taken along would make the new service leave out what this proxy lacks. The list
     /// that is held serves on until the new one has come.
     fn leave(&mut self) {
-        (self.conn, self.revision, self.moved) = (None, None, true);
+        (self.conn, self.revision, self.watching, self.moved) = (None, None, false, true);
     }
 
     /// Follows discovery where it is now. Ends with the process.
     async fn follow(&mut self) {
         let mut failures = 0_u32;
         loop {
-            if (self.revision.is_none() || failures > 0) && !std::mem::take(&mut self.moved) {
+            if !self.watching && !std::mem::take(&mut self.moved) {
                 self.wait_for_call().await;
             }
             match self.call().await {
                 Ok(list) => {
                     failures = 0;
+                    self.watching = true;
                     self.pass_on(list);
                 }
                 Err(error) => {
@@ -309,7 +329,7 @@
                         log(format_args!("discovery: {error}"));
                     }
                     failures = failures.saturating_add(1);
-                    self.conn = None;
+                    (self.conn, self.watching) = (None, false);
                     self.after_failure(failures).await;
                 }
             }
@@ -358,7 +378,15 @@
             }
         };
         let body = timeout(limit, self.fetch(&target)).await.map_err(|_| DiscoveryError::Timeout)??;
-        self.translator.list(serde_json::from_slice(&body).map_err(DiscoveryError::Malformed)?)
+        let list = self.translator.list(serde_json::from_slice(&body).map_err(DiscoveryError::Malformed)?)?;
+        match self.revision {
+            // Versions that begin anew are another service's: the next call asks for the whole list.
+            Some(held) if list.revision < held => {
+                self.revision = None;
+                Err(DiscoveryError::Older)
+            }
+            _ => Ok(list),
+        }
     }
 
     async fn fetch(&mut self, target: &str) -> Result<Bytes, DiscoveryError> {
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -3,6 +3,7 @@
 mod rig;
 
 use rig::*;
+use serde_json::json;
 use socket2::{Domain, Socket, Type};
 use std::io::Read;
 use std::sync::mpsc::{Sender, channel};
@@ -478,6 +479,35 @@
     assert_eq!(proxy.client().ask(UP).status(), 200);
 }
 
+#[test]
+fn a_proxy_that_starts_serves_from_the_list_it_knows_and_asks_for_what_is_newer() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("there"));
+    let mut config = config("known", &discovery);
+    config["known"] =
+        json!({"revision": 7, "complete": true, "members": [entry("s-1", backend.address, "active", 0)]});
+    config["settings"]["membershipMode"] = "on_request".into();
+    let proxy = Proxy::start_with("known", config);
+    assert_eq!(discovery.next_call(), Some(7), "one call, for the changes alone");
+    assert_eq!(proxy.client().ask(UP).status(), 200, "discovery has not answered");
+    assert_eq!(proxy.client().ask(&request("read", "1", "")).status(), 200);
+}
+
+#[test]
+fn an_answer_older_than_the_list_that_is_held_is_passed_over_and_the_whole_list_asked_for_later() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("there"));
+    let mut config = config("older", &discovery);
+    config["known"] =
+        json!({"revision": 7, "complete": true, "members": [entry("s-1", backend.address, "active", 0)]});
+    let proxy = Proxy::start_with("older", config);
+    assert_eq!(discovery.next_call(), Some(7));
+    discovery.put(false, &[entry("s-1", backend.address, "left", 0)]);
+    assert_eq!(discovery.next_call(), None);
+    assert_eq!(discovery.next_call(), Some(1), "versions began anew");
+    drop(proxy);
+}
+
 #[test]
 fn a_call_that_discovery_has_not_come_to_yet_is_not_dropped_and_made_again() {
     let discovery = Discovery::start();
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -205,6 +205,12 @@
 
     /// Posts a list and waits until the proxy holds it: it then asks for what is newer.
     pub fn post(&self, complete: bool, members: &[Value]) {
+        let revision = self.put(complete, members);
+        while self.calls.recv_timeout(PATIENCE).expect("a further watch") != Some(revision) {}
+    }
+
+    /// Posts a list; its version.
+    pub fn put(&self, complete: bool, members: &[Value]) -> u64 {
         let (lock, changed) = &*self.board;
         let mut board = lock.lock().expect("the board");
         board.revision += 1;
@@ -212,7 +218,7 @@
         board.list = Some(json!({"revision": revision, "complete": complete, "members": members}));
         drop(board);
         changed.notify_all();
-        while self.calls.recv_timeout(PATIENCE).expect("a further watch") != Some(revision) {}
+        revision
     }
 }
 
