Spread the fleet's calls to discovery so that they do not keep it overbooked

Evidence: 100 proxies call in the same millisecond at the start and 70 after a kill. The queue takes about 36 calls and discovery some 7 a second, so what is accepted at its end waits for longer than discovery lets it.

Now a proxy's first call comes at random within 20 ms for each proxy of the fleet, and after a failed call within 200 ms for each, so that all together make five calls a second. A proxy alone asks as before.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -47,6 +47,9 @@
 const MOST_PART: f64 = 1.5;
 /// How long a report's part holds.
 const PART_HOLDS: Micros = 5 * SECOND;
+/// All proxies together call discovery this often: when they start, and after calls that failed.
+const FIRST_CALL_EVERY: Micros = SECOND / 50;
+const CALL_EVERY: Micros = SECOND / 5;
 /// A request without room waits this part of its time left.
 const HOLD_PART: Micros = 10;
 /// Weight of one more outcome in a server's failure share, and the share at which it is ejected.
@@ -194,7 +197,7 @@
             Membership::Full(entries) => (entries, true),
             Membership::Cached(entries) => {
                 if self.settings.discovery_on_request {
-                    out.push(Action::Subscribe);
+                    self.subscribe(0, FIRST_CALL_EVERY, out);
                 }
                 (entries, true)
             }
@@ -232,8 +235,16 @@
     fn resubscribe_later(&mut self, out: &mut Vec<Action>) {
         let wait = (SECOND / 8) << self.subscribe_failures.min(4);
         self.subscribe_failures += 1;
-        let after = wait + self.rng.u64(0..=wait);
-        out.push(Action::SetTimer { after, token: TIMER_SUBSCRIBE });
+        self.subscribe(wait, CALL_EVERY, out);
+    }
+
+    /// Asks discovery. Departure: not at once, but `wait` from now and at random in the time that all proxies
+    /// take at one call `every` so long; together they would keep it overbooked.
+    fn subscribe(&mut self, wait: Micros, every: Micros, out: &mut Vec<Action>) {
+        let span = wait.max(u64::from(self.settings.balancers - 1) * every);
+        let after = wait + self.rng.u64(0..=span);
+        let later = Action::SetTimer { after, token: TIMER_SUBSCRIBE };
+        out.push(if after > 0 { later } else { Action::Subscribe });
     }
 
     fn update(&mut self, now: Micros, entry: &Backend) {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use haventrack::api::*;
+use haventrack::balancer::Balancer;
 
 fn one_zone(n: u32) -> Vec<Backend> {
     (0..n).map(|id| Backend { zone: 0, cell: 0, ..backend(id) }).collect()
@@ -420,6 +421,33 @@
     }
 }
 
+/// How many of 100 proxies call discovery in the busiest second after such news.
+fn busiest_second(news: &[Membership<'_>]) -> usize {
+    let ask = |seed| {
+        let settings = Settings { balancers: 100, discovery_on_request: true, ..settings() };
+        let mut balancer = Balancer::new(settings, seed, SECOND).expect("the settings make sense");
+        let mut actions = Vec::new();
+        news.iter().for_each(|&news| {
+            actions.clear();
+            balancer.handle(SECOND, Event::Membership(news), &mut actions);
+        });
+        match actions[..] {
+            [Action::SetTimer { after, .. }] => after / SECOND,
+            _ => 0,
+        }
+    };
+    let asks: Vec<Micros> = (0..100).map(ask).collect();
+    asks.iter().map(|&at| asks.iter().filter(|&&a| a == at).count()).max().unwrap_or_default()
+}
+
+#[test]
+fn a_fleet_that_starts_or_fails_together_does_not_ask_discovery_together() {
+    let start = [Membership::Cached(&[])];
+    assert!(busiest_second(&start) <= 65, "{} calls", busiest_second(&start));
+    let failed = [Membership::Cached(&[]), Membership::Failed];
+    assert!(busiest_second(&failed) <= 12, "{} calls", busiest_second(&failed));
+}
+
 #[test]
 fn a_stream_that_has_begun_is_left_alone() {
     let mut proxy = Proxy::new(single_zone(), one_zone(3));
