Give a cold server's token back when it has answered in good time

A quarter to a third of the answers are late from the first new servers on.

The servers have warmed up with the work they did; the budget goes by the clock and the slowest warming that the settings allow.

Cause (`cold_tokens`): nothing that a cold server shows enters its budget. Now an answer under Lmax to a request sent since the start gives its token back. What a server has answered it can do, so the fleet sends at most what the clock allows (0.9 of its least capacity) and what it answers: under two times what it can do, where three push it over.

Ruled out: slots (4.7 on a new server, as on an old one), lists, connections (none failed).

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -745,6 +745,10 @@
                 self.served.add(now);
                 server.silent_since = now;
                 server.answered = server.answered.max(to.sent_at);
+                // What a cold server answers in good time it can do: the token of that send comes back.
+                let in_time = latency.base < f64::MAX && elapsed <= lmax;
+                let cold = server.cold.as_mut().filter(|cold| in_time && cold.started <= to.sent_at);
+                cold.into_iter().for_each(|cold| cold.tokens += 1.0);
                 false
             }
             // A server that answered others meanwhile is not hung; the request was heavy.
