Send to a server that was slow of late only after others of the same room

A quarter of the answers are late, half of the requests are refused at some try.

Half of the refusals come from the bound on what a proxy has out (`pool.most`, two or three), while it has slots free: those two or three wait at slow servers, which a draw among equal rooms picks as readily as any other. A proxy meets one of 60 servers about once a second or less, so windows of six samples take many seconds and the limit of a slow server hardly falls.

Cause (`pick`): where rooms are nearly all one slot, ties decide, and they know nothing of what the proxy has seen. Now a server whose latest samples were over Lmax in the mean, within five seconds, comes after others of the same room. The room comes first as before.

Ruled out: the limit alone.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -50,6 +50,8 @@
 /// All proxies together call discovery this often: when they start, and after calls that failed.
 const FIRST_CALL_EVERY: Micros = SECOND / 50;
 const CALL_EVERY: Micros = SECOND / 5;
+/// How long a server that was slow comes after others of the same room.
+const PACE_HOLDS: Micros = 5 * SECOND;
 /// A request without room waits this part of its time left.
 const HOLD_PART: Micros = 10;
 /// Weight of one more outcome in a server's failure share, and the share at which it is ejected.
@@ -108,6 +110,11 @@
     fn slots(&self, part: f64) -> i64 {
         (self.limit * part + self.dither).floor() as i64
     }
+
+    /// The mean of its samples of late; 0 where there are none.
+    fn pace(&self, now: Micros) -> f64 {
+        if now < self.pace.1 + PACE_HOLDS { self.pace.0 } else { 0.0 }
+    }
 }
 
 /// The decisions of one proxy.
@@ -542,12 +549,15 @@
                 spare = Some((left, index));
             }
             let far = usize::from(!self.near(server));
-            if room <= 0 || best[far].is_some_and(|(most, _)| room < most) {
+            // Of the same room, a server that was slow of late comes last: what goes there holds its slot for
+            // long, and its window may take many seconds to fill.
+            let rank = 2 * room + i64::from(server.pace(now) <= 1.0);
+            if room <= 0 || best[far].is_some_and(|(most, _)| rank < most) {
                 continue;
             }
-            ties[far] = if best[far].is_some_and(|(most, _)| room == most) { ties[far] + 1 } else { 1 };
+            ties[far] = if best[far].is_some_and(|(most, _)| rank == most) { ties[far] + 1 } else { 1 };
             if ties[far] == 1 || self.rng.u32(0..ties[far]) == 0 {
-                best[far] = Some((room, index));
+                best[far] = Some((rank, index));
             }
         }
         // Departure: a proxy that holds no slot on any server would serve nobody. It may have one request
@@ -765,6 +775,7 @@
             return;
         }
         let server = &mut self.servers[index];
+        server.pace = ((server.pace(now) + sample.min(SAMPLE_CAP)) / 2.0, now);
         let weight = match end.outcome {
             Outcome::ConnectFailed => REFUSED_WEIGHT,
             Outcome::Reset => BROKEN_WEIGHT,
--- a/src/state.rs
+++ b/src/state.rs
@@ -48,6 +48,8 @@
     /// The part of its kind's limit that its last report gave it, and when.
     pub(crate) part: (f64, Micros),
     pub(crate) window: Window,
+    /// A mean of its latest samples, and when the last one came.
+    pub(crate) pace: (f64, Micros),
     /// Share of failures among its latest outcomes.
     pub(crate) failures: f64,
     /// Since when it owes an answer without having given any.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -667,3 +667,25 @@
         assert!(proxy.in_flight(server) >= 1, "server {server}");
     }
 }
+
+#[test]
+fn of_servers_with_the_same_room_one_that_was_slow_of_late_comes_last() {
+    // Each proxy holds slots on a part of the servers and has too few requests for its windows.
+    let mut sends = [0_u32; 20];
+    for me in 0..25 {
+        let settings = Settings { me: 4 * me, balancers: 100, ..single_zone() };
+        let mut proxy = Proxy::new(settings, one_zone(20));
+        for id in 0..100 {
+            let actions = proxy.request(request(id, 0));
+            if let Some(server) = sent_to(&actions).filter(|_| id >= 25) {
+                sends[server as usize] += 1;
+            }
+            (0..20).for_each(|_| {
+                proxy.advance(10 * MS);
+                proxy.serve(|server| if server == 3 { 400 * MS } else { 40 * MS });
+            });
+        }
+    }
+    let others = (sends.iter().sum::<u32>() - sends[3]) / 19;
+    assert!(sends[3] * 3 < others, "{} sends to the slow server, {others} to another one", sends[3]);
+}
