Await the close that shows that a client's leaving was seen, in the test of it

It failed once in some ten runs on a busy machine: an answer on another connection does not show that the proxy has seen the end of this one. The test now ends its sending side and waits until the proxy has ended its own.

--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 use socket2::{Domain, Socket, Type};
 use std::io::Read;
+use std::net::Shutdown;
 use std::sync::mpsc::{Sender, channel};
 use std::time::Duration;
 
@@ -371,10 +372,10 @@
     let mut first = fill(&proxy, &backend);
     let mut leaver = proxy.client();
     leaver.send(&request("charge", "2", "x"));
-    // The answers on other connections show that the proxy has seen what came before them.
-    assert_eq!(proxy.client().ask(UP).status(), 200);
-    drop(leaver);
+    // The answer on another connection shows that the proxy has seen what came before it.
     assert_eq!(proxy.client().ask(UP).status(), 200);
+    leaver.stream.shutdown(Shutdown::Write).expect("an open connection");
+    assert!(leaver.ends_cleanly(), "the proxy has seen that the client left, and ended its side too");
     for (release, client) in releases.iter().zip(first.iter_mut().rev()) {
         release.send(()).expect("the backend waits");
         assert_eq!(client.receive().status(), 200);
