Answer the operators' calls, count what ends, and empty the proxy when told

The module tells which listed backends it avoids. An attempt is counted when its last byte is written, not when it ends. A request that comes while the process stops gets no more time than the process has left.

Lines that lost: `clients.rs` knew only SIGTERM as a reason to say no at `/up`; `main` opened one listener.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -196,6 +196,16 @@
         }
     }
 
+    /// The listed backends that it avoids now: they drain, were ejected, are silent or turned a request away.
+    #[must_use]
+    pub fn avoided(&self, now: Micros) -> usize {
+        let overdue = (0..self.settings.classes.len()).map(|c| self.overdue(c)).max().unwrap_or_default();
+        let avoids = |s: &Server| {
+            !s.ready || s.ejected_until.is_some() || s.is_silent(now, overdue) || now < s.full_until
+        };
+        (0..self.servers.len()).filter(|&i| self.servers[i].listed && avoids(&self.servers[i])).count()
+    }
+
     // ---- Discovery ----
 
     fn on_membership(&mut self, now: Micros, news: Membership<'_>, out: &mut Vec<Action>) {
--- a/src/bin/haventrack-proxy.rs
+++ b/src/bin/haventrack-proxy.rs
@@ -3,13 +3,15 @@
 
 use haventrack::balancer::Balancer;
 use haventrack::proxy::backends::Fleet;
-use haventrack::proxy::clients::{Clients, Phase};
+use haventrack::proxy::clients::Clients;
 use haventrack::proxy::clock::Clock;
 use haventrack::proxy::config::Config;
+use haventrack::proxy::counters::Counters;
 use haventrack::proxy::discovery::{Translator, Watcher};
 use haventrack::proxy::driver::{Driver, Limits};
+use haventrack::proxy::lifecycle::Lifecycle;
 use haventrack::proxy::log;
-use std::cell::Cell;
+use haventrack::proxy::operator::Operator;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -69,6 +71,12 @@
 
 async fn run(config: Config, signals: Signals) -> Result<(), Box<dyn Error>> {
     let clock = Clock::start();
+    let calls = config.operator.map(|at| listen(at).map_err(|e| format!("cannot listen on {at}: {e}")));
+    let calls = calls.transpose()?;
+    if let Some(calls) = &calls {
+        log(format_args!("operators call {}", calls.local_addr()?));
+    }
+    let counters = Counters::new(&config.names.classes);
     let settings = config.settings;
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let asked = settings.discovery_on_request;
@@ -80,45 +88,52 @@
         config.dial_timeout,
         settings.permissions.conn_idle,
         config.names.report.clone(),
+        Rc::clone(&counters),
     );
     let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     log(format_args!("{} listens on {}", config.name, listener.local_addr()?));
     let balancer = Balancer::new(settings.clone(), config.seed, clock.now())?;
     let (subscribe, subscriptions) = mpsc::unbounded_channel();
     let (driver, handle) = Driver::new(balancer, clock, Rc::clone(&fleet), limits, subscribe);
-    let held = Rc::new(Cell::new(false));
+    let lifecycle = Lifecycle::start();
+    if let Some(calls) = calls {
+        let (lifecycle, counters) = (Rc::clone(&lifecycle), Rc::clone(&counters));
+        let operator = Operator::new(lifecycle, counters, Rc::clone(&fleet), handle.clone());
+        tokio::task::spawn_local(operator.serve(calls));
+    }
     let translator = Translator::new(clock, &config.names);
     let subscriptions = asked.then_some(subscriptions);
     let (discovery, addresses) = watch::channel(config.discovery);
-    let mut watcher = Watcher::new(addresses, translator, handle.clone(), Rc::clone(&held), subscriptions);
-    watcher.start_from(config.known);
-    let (phase, phases) = watch::channel(Phase::Running);
-    let clients = Clients::new(handle, clock, &settings, &config.names, held, phases, config.client_sockets);
+    let mut watcher =
+        Watcher::new(addresses, translator, handle.clone(), Rc::clone(&lifecycle), subscriptions);
+    let most = config.client_sockets;
+    let clients =
+        Clients::new(handle, clock, &settings, &config.names, Rc::clone(&lifecycle), counters, most);
 
     let Signals { mut stop, reload } = signals;
     tokio::task::spawn_local(follow_configuration(reload, discovery));
     let driver = tokio::task::spawn_local(driver.run());
-    tokio::task::spawn_local(watcher.run());
     tokio::task::spawn_local(fleet.sweep());
     tokio::task::spawn_local(Rc::clone(&clients).accept(listener));
+    watcher.start_from(config.known);
+    tokio::task::spawn_local(watcher.run());
     tokio::select! {
         ended = driver => Err(format!("the driver ended: {ended:?}").into()),
         _ = stop.recv() => {
-            drain(&clients, &phase, Duration::from_micros(longest)).await;
+            drain(&clients, &lifecycle, Duration::from_micros(longest)).await;
             Ok(())
         }
     }
 }
 
 /// Finishes what was taken, and what still comes.
-async fn drain(clients: &Clients, phase: &watch::Sender<Phase>, longest: Duration) {
+async fn drain(clients: &Clients, lifecycle: &Lifecycle, longest: Duration) {
     let began = Instant::now();
-    let _ = phase.send(Phase::Draining);
+    let end = began + longest + DRAIN_SLACK;
+    lifecycle.stop(end);
     while began.elapsed() < DRAIN_LEAST || (clients.quiet() < DRAIN_QUIET && began.elapsed() < longest) {
         sleep(DRAIN_STEP).await;
     }
-    let _ = phase.send(Phase::Closing);
-    let end = began + longest + DRAIN_SLACK;
     while clients.open() > 0 && timeout_at(end, clients.one_ended()).await.is_ok() {}
 }
 
--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -3,6 +3,7 @@
 //! A request is written to a connection once and never again by this side: whether it may be repeated is the
 //! module's to say, and it can only say so if it knows whether the last byte went out (`Wire` counts).
 
+use super::counters::Counters;
 use super::{ANSWER_CAP, BODY_CAP};
 use crate::api::{BackendId, Micros, Outcome, Readiness};
 use bytes::Bytes;
@@ -89,6 +90,9 @@
 struct Wire {
     stream: TcpStream,
     written: Cell<u64>,
+    /// The count at which the present attempt is written whole, until it is.
+    whole_at: Cell<Option<u64>>,
+    counters: Rc<Counters>,
 }
 
 impl Wire {
@@ -100,8 +104,12 @@
         peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    fn wrote<T: Into<u64>>(&self, bytes: T) {
-        self.written.set(self.written.get() + bytes.into());
+    fn wrote(&self, bytes: u64) {
+        self.written.set(self.written.get() + bytes);
+        if self.whole_at.get().is_some_and(|whole| self.written.get() >= whole) {
+            self.whole_at.set(None);
+            self.counters.tried();
+        }
     }
 }
 
@@ -275,6 +283,7 @@
     dial_timeout: Duration,
     idle_limit: Duration,
     report_fields: Vec<String>,
+    counters: Rc<Counters>,
 }
 
 impl Fleet {
@@ -287,6 +296,7 @@
         dial_timeout: Micros,
         conn_idle: Micros,
         report_fields: Vec<String>,
+        counters: Rc<Counters>,
     ) -> Rc<Self> {
         let idle = Duration::from_micros(conn_idle);
         Rc::new(Self {
@@ -297,9 +307,22 @@
             dial_timeout: Duration::from_micros(dial_timeout),
             idle_limit: idle.saturating_sub(IDLE_MARGIN).max(idle / 2),
             report_fields,
+            counters,
         })
     }
 
+    /// How many backends are listed.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.servers.borrow().len()
+    }
+
+    /// Whether none is listed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Takes what discovery says of one backend.
     pub fn update(&self, id: BackendId, address: SocketAddr, readiness: Readiness, started: Option<Micros>) {
         let mut servers = self.servers.borrow_mut();
@@ -395,7 +418,8 @@
         let connecting = timeout_at(until, TcpStream::connect(server.address.get())).await;
         let stream = connecting.map_err(|_| NoConn::Backends)??;
         stream.set_nodelay(true)?;
-        let wire = Rc::new(Wire { stream, written: Cell::new(0) });
+        let (written, whole_at, counters) = (Cell::new(0), Cell::new(None), Rc::clone(&self.counters));
+        let wire = Rc::new(Wire { stream, written, whole_at, counters });
         let io = TokioIo::new(WireIo(Rc::clone(&wire)));
         let handshake = http1::Builder::new().max_buf_size(HEAD_CAP).handshake(io).await;
         let (sender, connection) = handshake.map_err(|_| NoConn::Backends)?;
@@ -447,6 +471,7 @@
         }
         let request = request(&call, &server, left);
         let whole = conn.wire.written.get() + least_size(&request, call.body.len());
+        conn.wire.whole_at.set(Some(whole));
         let exchanged = tokio::select! {
             biased;
             exchanged = exchange(&mut conn.sender, request, &self.large) => exchanged,
@@ -658,7 +683,7 @@
 
     #[test]
     fn backends_that_are_gone_are_forgotten() {
-        let fleet = Fleet::new(10, 1, 1, 1, Vec::new());
+        let fleet = Fleet::new(10, 1, 1, 1, Vec::new(), Counters::new(&[]));
         let address = SocketAddr::from(([127, 0, 0, 1], 9));
         for id in 0..100 {
             fleet.update(id, address, Readiness::Ready, None);
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -3,7 +3,9 @@
 use super::backends::Call;
 use super::clock::Clock;
 use super::config::Names;
+use super::counters::{Counters, End};
 use super::driver::{Answer, Handle, Inbound, Message};
+use super::lifecycle::{GRACE, Lifecycle};
 use super::{BODY_CAP, log};
 use crate::api::{Effect, Micros, RequestId, Settings};
 use bytes::Bytes;
@@ -24,8 +26,8 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// How long a client may take for a request, its body too. For the first one on a connection this counts from
 /// connecting, for a later one's head from the last answer, so it is also how long a client may stay idle: silence
@@ -55,17 +57,6 @@
 const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
 const WEIGHT_HINT: HeaderName = HeaderName::from_static("x-weight-hint");
 
-/// How far the proxy is on its way out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// It serves.
-    Running,
-    /// It serves, and each answer closes its connection.
-    Draining,
-    /// Idle connections close as well.
-    Closing,
-}
-
 struct Class {
     deadline: Micros,
     keyed: bool,
@@ -78,8 +69,8 @@
     clock: Clock,
     classes: FxHashMap<String, (u8, Class)>,
     tenants: FxHashMap<String, u16>,
-    held: Rc<Cell<bool>>,
-    phase: watch::Receiver<Phase>,
+    lifecycle: Rc<Lifecycle>,
+    counters: Rc<Counters>,
     most: usize,
     open: Cell<usize>,
     freed: Notify,
@@ -93,21 +84,46 @@
 }
 
 /// A request that is answered here because the module can't be asked about it.
-struct Rejected(StatusCode, &'static str);
+pub(super) struct Rejected {
+    status: StatusCode,
+    why: &'static str,
+    allow: Option<&'static str>,
+}
 
-const TOO_LARGE: Rejected = Rejected(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
+impl Rejected {
+    pub(super) const fn new(status: StatusCode, why: &'static str) -> Self {
+        Self { status, why, allow: None }
+    }
+
+    /// The path is known, but only with these methods.
+    pub(super) const fn method(allowed: &'static str) -> Self {
+        Self {
+            allow: Some(allowed),
+            ..Self::new(StatusCode::METHOD_NOT_ALLOWED, "not the method for this\n")
+        }
+    }
+
+    pub(super) fn into_response(self) -> Response<Full<Bytes>> {
+        let mut response = plain(self.status, self.why);
+        if let Some(allowed) = self.allow {
+            response.headers_mut().insert(header::ALLOW, HeaderValue::from_static(allowed));
+        }
+        response
+    }
+}
+
+const TOO_LARGE: Rejected = Rejected::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
 
 impl Clients {
-    /// No connections yet. `held` tells whether a list of backends is held, `most` how many connections may be
-    /// open at a time.
+    /// No connections yet. `most` is how many may be open at a time.
     #[must_use]
     pub fn new(
         handle: Handle,
         clock: Clock,
         settings: &Settings,
         names: &Names,
-        held: Rc<Cell<bool>>,
-        phase: watch::Receiver<Phase>,
+        lifecycle: Rc<Lifecycle>,
+        counters: Rc<Counters>,
         most: usize,
     ) -> Rc<Self> {
         let class = |c: &crate::api::Class| Class {
@@ -121,8 +137,8 @@
             clock,
             classes: classes.map(|((name, i), c)| (name.clone(), (i, class(c)))).collect(),
             tenants: names.tenants.iter().cloned().zip(0..).collect(),
-            held,
-            phase,
+            lifecycle,
+            counters,
             most,
             open: Cell::new(0),
             freed: Notify::new(),
@@ -190,9 +206,9 @@
             .header_read_timeout(REQUEST_TIME)
             .max_buf_size(HEAD_CAP)
             .serve_connection(TokioIo::new(stream), service);
-        let mut phase = self.phase.clone();
-        // A connection that comes while the others are being closed still gets its answer; that closes it.
-        let mut told = *phase.borrow_and_update() == Phase::Closing;
+        let mut stages = self.lifecycle.follow();
+        let mut leaves_at = self.lifecycle.is_leaving().then(|| Instant::now() + GRACE);
+        let mut told = false;
         let mut shed = pin!(self.shed.notified());
         let mut is_shed = false;
         loop {
@@ -200,11 +216,14 @@
                 biased;
                 // How it ended does not matter here: a client that left has been reported by its guard.
                 _ = std::future::poll_fn(|cx| conn.poll_without_shutdown(cx)) => break,
-                Ok(()) = phase.changed(), if !told => {
-                    if *phase.borrow_and_update() == Phase::Closing {
-                        told = true;
-                        Pin::new(&mut conn).graceful_shutdown();
-                    }
+                Ok(()) = stages.changed(), if !told => {
+                    stages.mark_unchanged();
+                    let leaving = self.lifecycle.is_leaving();
+                    leaves_at = leaving.then(|| leaves_at.unwrap_or_else(|| Instant::now() + GRACE));
+                }
+                () = sleep_until(leaves_at.unwrap_or_else(Instant::now)), if !told && leaves_at.is_some() => {
+                    told = true;
+                    Pin::new(&mut conn).graceful_shutdown();
                 }
                 () = &mut shed, if !told => {
                     (told, is_shed) = (true, true);
@@ -229,25 +248,22 @@
                 Ok(inbound) => self.ask(inbound).await,
                 Err(rejected) => Err(rejected),
             };
-            answered.unwrap_or_else(|Rejected(status, why)| {
-                let mut response = plain(status, why);
-                if status == StatusCode::METHOD_NOT_ALLOWED {
-                    response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, POST"));
-                }
+            answered.unwrap_or_else(|rejected| {
+                let mut response = rejected.into_response();
                 // What follows a request that makes no sense may be a part of it.
                 close(&mut response);
                 response
             })
         };
         // Close to the cap, connections are given back after each answer.
-        if *self.phase.borrow() != Phase::Running || self.open.get() * 8 >= self.most * 7 {
+        if self.lifecycle.is_leaving() || self.open.get() * 8 >= self.most * 7 {
             close(&mut response);
         }
         response
     }
 
     fn up(&self) -> Response<Full<Bytes>> {
-        if self.held.get() && *self.phase.borrow() == Phase::Running {
+        if self.lifecycle.is_up() {
             plain(StatusCode::OK, "up\n")
         } else {
             plain(StatusCode::SERVICE_UNAVAILABLE, "not serving\n")
@@ -257,13 +273,19 @@
     async fn ask(&self, inbound: Inbound) -> Result<Response<Full<Bytes>>, Rejected> {
         // Rule 2: passed on, a second request of the same id would be a second copy of the first.
         let Some(_id) = OpenId::claim(&self.ids, &inbound.call.headers) else {
-            return Err(Rejected(StatusCode::CONFLICT, "a request of this id is open\n"));
+            return Err(Rejected::new(StatusCode::CONFLICT, "a request of this id is open\n"));
         };
         let (sender, answer) = oneshot::channel();
+        let ticket = self.counters.take(inbound.request.class);
         let guard = Guard { handle: &self.handle, request: inbound.request.id, answered: false };
         self.handle.tell(Message::Request(Box::new(inbound), sender));
         let answer = answer.await;
         guard.answered();
+        ticket.note(match &answer {
+            Ok(Answer::Served(_)) => End::Passed,
+            Ok(Answer::Refused { .. }) => End::Dropped,
+            Ok(Answer::Failed) | Err(_) => End::BadGateway,
+        });
         Ok(match answer {
             Ok(Answer::Served(served)) => {
                 let mut response = Response::new(Full::new(served.body));
@@ -284,12 +306,12 @@
         late: Instant,
     ) -> Result<Inbound, Rejected> {
         let (head, body) = request.into_parts();
-        let bad = |why| Rejected(StatusCode::BAD_REQUEST, why);
+        let bad = |why| Rejected::new(StatusCode::BAD_REQUEST, why);
         let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
         // Rule 2: a length beside it may hide a further request in the body, and hyper has dropped that length
         // by now. Clients of this protocol tell the length.
         if head.headers.contains_key(header::TRANSFER_ENCODING) {
-            return Err(Rejected(StatusCode::LENGTH_REQUIRED, "Content-Length is required\n"));
+            return Err(Rejected::new(StatusCode::LENGTH_REQUIRED, "Content-Length is required\n"));
         }
         if body.size_hint().lower() > BODY_CAP as u64 {
             return Err(TOO_LARGE);
@@ -304,7 +326,7 @@
             return Err(bad("the class of the header is not that of the path\n"));
         }
         if head.method != facts.method {
-            return Err(Rejected(StatusCode::METHOD_NOT_ALLOWED, "not the method of this class\n"));
+            return Err(Rejected::method(if facts.method == Method::GET { "GET" } else { "POST" }));
         }
         // Without its key a repeat would not be dropped.
         if facts.keyed && text(IDEMPOTENCY_KEY).is_none_or(str::is_empty) {
@@ -322,12 +344,13 @@
         let time_left = digits.and_then(|v| v.parse::<u64>().ok());
         let time_left = time_left.filter(|&ms| ms <= MOST_TIME_LEFT_MS);
         let patience = time_left.ok_or(bad("X-Time-Left-Ms is missing or makes no sense\n"))? * 1_000;
+        let own = self.lifecycle.time_left().and_then(|left| Micros::try_from(left.as_micros()).ok());
         let request = crate::api::Request {
             id: self.handle.number(),
             class: *class,
             tenant,
             key: head.uri.query().and_then(key),
-            patience: patience.min(facts.deadline),
+            patience: patience.min(facts.deadline).min(own.unwrap_or(Micros::MAX)),
             work: text(WEIGHT_HINT).and_then(|v| v.trim().parse().ok()),
             repeat: text(REPEAT) == Some("1"),
         };
@@ -381,12 +404,13 @@
 
 async fn collect(body: Incoming, late: Instant) -> Result<Bytes, Rejected> {
     let collected = timeout_at(late, Limited::new(body, BODY_CAP).collect()).await;
-    let collected = collected.map_err(|_| Rejected(StatusCode::REQUEST_TIMEOUT, "the body is late\n"))?;
+    let collected =
+        collected.map_err(|_| Rejected::new(StatusCode::REQUEST_TIMEOUT, "the body is late\n"))?;
     let collected = collected.map_err(|error| {
         if error.is::<LengthLimitError>() {
             TOO_LARGE
         } else {
-            Rejected(StatusCode::BAD_REQUEST, "the body is broken\n")
+            Rejected::new(StatusCode::BAD_REQUEST, "the body is broken\n")
         }
     })?;
     Ok(collected.to_bytes())
@@ -429,7 +453,7 @@
     })
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+pub(super) fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
@@ -451,7 +475,7 @@
 }
 
 /// Ends the sending side and reads what still comes, for a while.
-async fn linger(mut stream: TcpStream) {
+pub(super) async fn linger(mut stream: TcpStream) {
     if stream.shutdown().await.is_err() {
         return;
     }
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -1,6 +1,6 @@
 //! What the proxy is told at its start: the file that `EDGE_CONFIG` names, and the environment.
 
-use super::{BODY_CAP, backends, clients};
+use super::{BODY_CAP, backends, clients, operator};
 use crate::api::{Micros, Settings, SettingsError};
 use crate::wire::parse_settings;
 use serde::Deserialize;
@@ -66,6 +66,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if they do.
+    pub operator: Option<SocketAddr>,
     /// Where discovery listens.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -93,6 +95,8 @@
     #[serde(default)]
     listen: Option<String>,
     #[serde(default)]
+    operator: Option<String>,
+    #[serde(default)]
     discovery: Option<String>,
     #[serde(default)]
     seed: Value,
@@ -172,10 +176,13 @@
         let settings = serde_json::to_vec(&raw.settings).map_err(ConfigError::Malformed)?;
         let more: RawNames = serde_json::from_value(raw.settings).map_err(ConfigError::Malformed)?;
         let named = |list: Vec<Named>| list.into_iter().map(|n| n.name).collect();
-        let (client_sockets, backend_sockets, large_answers) = shares(&raw.limits);
+        let operator = raw.operator.or_else(|| variable("EDGE_OPERATOR")).filter(|given| !given.is_empty());
+        let reserved = RESERVED_SOCKETS + operator.as_ref().map_or(0, |_| 1 + operator::MOST_CALLS);
+        let (client_sockets, backend_sockets, large_answers) = shares(&raw.limits, reserved);
         Ok(Self {
             name: raw.name.or_else(|| variable("EDGE_NAME")).unwrap_or_default(),
             listen: address("listen", raw.listen, "EDGE_LISTEN")?,
+            operator: operator.map(|given| address("operator", Some(given), "")).transpose()?,
             discovery: address("discovery", raw.discovery, "EDGE_DISCOVERY")?,
             seed: seed(&raw.seed),
             known: raw.known,
@@ -198,8 +205,8 @@
 /// Client connections, backend connections, and bytes of large answers that there may be at a time. What all of
 /// them may hold has to fit into the memory: two fifths of it for the heads and bodies that came from clients, a
 /// fifth for those from backends, a fifth for large answers.
-fn shares(limits: &RawLimits) -> (usize, usize, usize) {
-    let free = limits.sockets.unwrap_or(DEFAULT_SOCKETS).max(2 * RESERVED_SOCKETS) - RESERVED_SOCKETS;
+fn shares(limits: &RawLimits, reserved: usize) -> (usize, usize, usize) {
+    let free = (limits.sockets.unwrap_or(DEFAULT_SOCKETS)).max(2 * reserved) - reserved;
     let fifth = limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB).saturating_mul(1 << 20) / 5;
     // A client's connection may carry a request that waits for a backend's, so it gets the larger part.
     let clients = (free * 3 / 5).min(2 * fifth / (clients::HEAD_CAP + BODY_CAP));
@@ -221,7 +228,7 @@
     fn what_all_connections_may_hold_fits_into_the_memory() {
         for (sockets, memory_mb) in [(256, 32), (1_024, 32), (1_024, 192), (65_536, 64)] {
             let limits = RawLimits { sockets: Some(sockets), memory_mb: Some(memory_mb) };
-            let (clients, backends, large) = shares(&limits);
+            let (clients, backends, large) = shares(&limits, RESERVED_SOCKETS);
             let held =
                 clients * (clients::HEAD_CAP + BODY_CAP) + backends * (backends::HEAD_CAP + BODY_CAP) + large;
             assert!(held <= (memory_mb << 20) / 5 * 4, "{held} bytes with {sockets} and {memory_mb}");
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -3,6 +3,7 @@
 use super::clock::Clock;
 use super::config::Names;
 use super::driver::{Handle, Message, Scope};
+use super::lifecycle::Lifecycle;
 use super::log;
 use crate::api::{Backend, BackendId, Readiness};
 use bytes::Bytes;
@@ -14,7 +15,6 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde::Deserialize;
 use serde_json::Value;
-use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -236,8 +236,8 @@
     addresses: watch::Receiver<SocketAddr>,
     translator: Translator,
     handle: Handle,
-    /// Set once a list is held.
-    held: Rc<Cell<bool>>,
+    /// Told once a list is held.
+    lifecycle: Rc<Lifecycle>,
     /// The module's calls for changes, where discovery has to be asked.
     asked: Option<mpsc::UnboundedReceiver<()>>,
     conn: Option<Conn>,
@@ -258,14 +258,14 @@
         addresses: watch::Receiver<SocketAddr>,
         translator: Translator,
         handle: Handle,
-        held: Rc<Cell<bool>>,
+        lifecycle: Rc<Lifecycle>,
         asked: Option<mpsc::UnboundedReceiver<()>>,
     ) -> Self {
         Self {
             addresses,
             translator,
             handle,
-            held,
+            lifecycle,
             asked,
             conn: None,
             revision: None,
@@ -287,7 +287,9 @@
         );
         self.fallback = entries.iter().any(|e| e.backend.readiness == Readiness::Ready);
         self.revision = revision.filter(|_| self.fallback);
-        self.held.set(self.fallback);
+        if self.fallback {
+            self.lifecycle.can_serve();
+        }
         // Also where nothing is known: the module asks for changes when it is told so.
         self.handle.tell(Message::Listed(Scope::Cached, entries));
     }
@@ -348,7 +350,7 @@
 
     fn pass_on(&mut self, list: List) {
         self.revision = Some(list.revision);
-        self.held.set(true);
+        self.lifecycle.can_serve();
         if list.complete {
             self.handle.tell(Message::Listed(Scope::Full, list.entries));
         } else if !list.entries.is_empty() {
@@ -360,7 +362,7 @@
     async fn after_failure(&mut self, failures: u32) {
         // Without discovery an old list is better than none.
         if self.fallback {
-            self.held.set(true);
+            self.lifecycle.can_serve();
         }
         if self.asked.is_some() {
             return self.handle.tell(Message::Listed(Scope::Failed, Vec::new()));
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -74,6 +74,8 @@
     Probed(BackendId, Ended),
     /// News of the backends.
     Listed(Scope, Vec<Listed>),
+    /// Somebody asks how many of the listed backends the module avoids.
+    Avoided(oneshot::Sender<usize>),
 }
 
 /// The way to the driver.
@@ -253,6 +255,9 @@
                 self.settle(now);
             }
             Message::Listed(scope, entries) => self.on_list(now, scope, &entries),
+            Message::Avoided(asked) => {
+                let _ = asked.send(self.balancer.avoided(now));
+            }
         }
     }
 
--- /dev/null
+++ b/src/proxy/lifecycle.rs
@@ -0,0 +1,165 @@
+//! The life of the process. Whoever wants to know whether it serves asks here: `/up`, the operators' calls, the
+//! clients' connections and the end of the program.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// How long a connection that clients hold may still bring a request once the process is to be left alone. Closed
+/// sooner, it would often cross one that is on its way.
+pub const GRACE: Duration = Duration::from_millis(1_500);
+
+/// How far the process is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// It can't serve yet.
+    Starting,
+    /// It serves.
+    InService,
+    /// An operator has taken it out of service: it serves what comes, and each answer closes its connection.
+    OutOfService,
+    /// It was told to end: as out of service, and for good.
+    Stopping,
+}
+
+/// The process is on its way out, so that it can't be taken in or out of service any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct IsStopping;
+
+/// The one state machine.
+pub struct Lifecycle {
+    stage: watch::Sender<Stage>,
+    /// A list of backends is held and clients are accepted.
+    can_serve: Cell<bool>,
+    /// When the process ends, whatever is open then.
+    ends_at: Cell<Option<Instant>>,
+}
+
+impl Lifecycle {
+    /// A process that starts.
+    #[must_use]
+    pub fn start() -> Rc<Self> {
+        let stage = watch::Sender::new(Stage::Starting);
+        Rc::new(Self { stage, can_serve: Cell::new(false), ends_at: Cell::new(None) })
+    }
+
+    /// How far it is.
+    #[must_use]
+    pub fn stage(&self) -> Stage {
+        *self.stage.borrow()
+    }
+
+    /// Tells of each change.
+    #[must_use]
+    pub fn follow(&self) -> watch::Receiver<Stage> {
+        self.stage.subscribe()
+    }
+
+    /// Whether new requests are welcome.
+    #[must_use]
+    pub fn is_up(&self) -> bool {
+        self.stage() == Stage::InService
+    }
+
+    /// Whether clients are to leave.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        matches!(self.stage(), Stage::OutOfService | Stage::Stopping)
+    }
+
+    /// It can serve from now on.
+    pub fn can_serve(&self) {
+        self.can_serve.set(true);
+        self.go(|stage| if stage == Stage::Starting { Stage::InService } else { stage });
+    }
+
+    /// An operator empties the proxy. Said again it changes nothing.
+    ///
+    /// # Errors
+    /// Where the process ends anyway.
+    pub fn take_out(&self) -> Result<(), IsStopping> {
+        self.go(|stage| if stage == Stage::Stopping { stage } else { Stage::OutOfService });
+        self.is_not_stopping()
+    }
+
+    /// The end of the drain. Said again it changes nothing.
+    ///
+    /// # Errors
+    /// Where the process ends.
+    pub fn take_in(&self) -> Result<(), IsStopping> {
+        let back = if self.can_serve.get() { Stage::InService } else { Stage::Starting };
+        self.go(|stage| if stage == Stage::OutOfService { back } else { stage });
+        self.is_not_stopping()
+    }
+
+    /// The process was told to end and will have ended at that time.
+    pub fn stop(&self, ends_at: Instant) {
+        self.ends_at.set(Some(ends_at));
+        self.go(|_| Stage::Stopping);
+    }
+
+    /// How long a request that comes now may take at the most: none outlives the process.
+    #[must_use]
+    pub fn time_left(&self) -> Option<Duration> {
+        self.ends_at.get().map(|end| end.saturating_duration_since(Instant::now()))
+    }
+
+    fn is_not_stopping(&self) -> Result<(), IsStopping> {
+        if self.stage() == Stage::Stopping { Err(IsStopping) } else { Ok(()) }
+    }
+
+    fn go(&self, next: impl Fn(Stage) -> Stage) {
+        self.stage.send_if_modified(|stage| {
+            let before = std::mem::replace(stage, next(*stage));
+            before != *stage
+        });
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_operator_takes_it_out_and_in_again_however_often_it_is_said() {
+        let life = Lifecycle::start();
+        assert_eq!(life.take_in(), Ok(()));
+        assert_eq!(life.stage(), Stage::Starting, "nothing can be served yet");
+        life.can_serve();
+        for _ in 0..2 {
+            assert_eq!((life.take_out(), life.stage(), life.is_up()), (Ok(()), Stage::OutOfService, false));
+        }
+        life.can_serve();
+        assert_eq!(life.stage(), Stage::OutOfService, "a new list does not end a drain");
+        for _ in 0..2 {
+            assert_eq!((life.take_in(), life.stage(), life.is_up()), (Ok(()), Stage::InService, true));
+        }
+    }
+
+    #[test]
+    fn a_drain_before_the_first_list_lasts_until_its_end_is_told() {
+        let life = Lifecycle::start();
+        assert_eq!(life.take_out(), Ok(()));
+        assert_eq!(life.take_in(), Ok(()));
+        assert_eq!(life.stage(), Stage::Starting);
+        assert_eq!(life.take_out(), Ok(()));
+        life.can_serve();
+        assert_eq!((life.take_in(), life.stage()), (Ok(()), Stage::InService));
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn who_stops_goes_on_stopping_and_takes_nothing_that_would_outlive_it() {
+        let life = Lifecycle::start();
+        life.can_serve();
+        assert_eq!(life.time_left(), None);
+        life.stop(Instant::now() + Duration::from_secs(3));
+        assert_eq!((life.take_in(), life.take_out()), (Err(IsStopping), Err(IsStopping)));
+        assert!(life.is_leaving());
+        tokio::time::advance(Duration::from_secs(1)).await;
+        assert_eq!(life.time_left(), Some(Duration::from_secs(2)));
+        tokio::time::advance(Duration::from_secs(5)).await;
+        assert_eq!(life.time_left(), Some(Duration::ZERO));
+    }
+}
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -5,8 +5,11 @@
 pub mod clients;
 pub mod clock;
 pub mod config;
+pub mod counters;
 pub mod discovery;
 pub mod driver;
+pub mod lifecycle;
+pub mod operator;
 
 use std::cell::Cell;
 use std::time::Instant;
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -1,5 +1,6 @@
 //! The proxy's program over loopback sockets: what must hold whatever backends and clients do.
 
+mod operating;
 mod rig;
 
 use rig::*;
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -236,6 +236,13 @@
         "safety": {"coldFrom": 0.3, "coldUs": 8_000_000, "fallMultiple": 3.0, "fallUs": 2_000_000}})
 }
 
+/// A configuration that knows no backends and names an operators' address.
+pub fn operated(name: &str, discovery: &Discovery) -> Value {
+    let mut config = config(name, discovery);
+    config["operator"] = "127.0.0.1:0".into();
+    config
+}
+
 /// A configuration that knows no backends.
 pub fn config(name: &str, discovery: &Discovery) -> Value {
     json!({"name": name, "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
@@ -247,6 +254,8 @@
 pub struct Proxy {
     pub child: Child,
     pub address: SocketAddr,
+    /// Where operators call, if the configuration names it.
+    pub operator: Option<SocketAddr>,
     name: String,
     log: BufReader<ChildStderr>,
 }
@@ -257,10 +266,16 @@
 
 /// Starts the program with this configuration, its standard error at hand.
 pub fn launch(name: &str, config: &str) -> Child {
+    command(name, config).spawn().expect("the program starts")
+}
+
+/// The program with this configuration, not started yet.
+pub fn command(name: &str, config: &str) -> Command {
     let path = config_path(name);
     fs::write(&path, config).expect("the configuration is written");
     let mut command = Command::new(env!("CARGO_BIN_EXE_haventrack-proxy"));
-    command.env("EDGE_CONFIG", path).stderr(Stdio::piped()).spawn().expect("the program starts")
+    command.env("EDGE_CONFIG", path).stderr(Stdio::piped());
+    command
 }
 
 impl Proxy {
@@ -278,17 +293,25 @@
 
     /// A proxy with this configuration.
     pub fn start_with(name: &str, config: Value) -> Self {
-        let mut child = launch(name, &config.to_string());
+        Self::follow(name, launch(name, &config.to_string()))
+    }
+
+    /// A proxy that was started: its addresses are in its log.
+    fn follow(name: &str, mut child: Child) -> Self {
+        let mut operator = None;
         let mut log = BufReader::new(child.stderr.take().expect("standard error"));
         let mut line = String::new();
         let address = loop {
             line.clear();
             assert_ne!(log.read_line(&mut line).expect("a log"), 0, "the proxy ended before it listened");
+            if let Some((_, address)) = line.trim().rsplit_once("operators call ") {
+                operator = Some(address.parse().expect("an address"));
+            }
             if let Some((_, address)) = line.trim().rsplit_once("listens on ") {
                 break address.parse().expect("an address");
             }
         };
-        Self { child, address, name: name.into(), log }
+        Self { child, address, operator, name: name.into(), log }
     }
 
     pub fn client(&self) -> Client {
@@ -297,6 +320,25 @@
         Client { reader: BufReader::new(stream.try_clone().expect("a clone")), stream }
     }
 
+    /// A connection to the operators' address.
+    pub fn caller(&self) -> Client {
+        let stream = TcpStream::connect(self.operator.expect("an operators' address")).expect("it accepts");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        Client { reader: BufReader::new(stream.try_clone().expect("a clone")), stream }
+    }
+
+    /// One call of an operator.
+    pub fn call(&self, method: &str, path: &str) -> Seen {
+        self.caller().ask(&format!("{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n"))
+    }
+
+    /// The figure of that name and labels.
+    pub fn figure(&self, name: &str) -> u64 {
+        let text = String::from_utf8(self.call("GET", "/control/counters").body).expect("text");
+        let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        value.unwrap_or_else(|| panic!("no {name} in {text}")).parse().expect("a number")
+    }
+
     fn signal(&self, signal: &str) {
         let done = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(done.expect("kill runs").success());
