Take over the listener that the platform holds, and leave its queue to the heir

Ruled out: a limit passed; memory and descriptors were far under.

`EDGE_FD` names the socket; `inherited.rs` duplicates the number before anything else is opened and checks that it listens. `unsafe` goes from forbidden to denied with this one exception: `listenfd` asks for variables that the platform does not set, `rustix` and `nix` make owned descriptors of numbers only by unsafe calls as well. At SIGTERM the process stops accepting at once; what is in the queue is the new one's. Where it is named, a process takes half of the limits.

--- a/src/bin/haventrack-proxy.rs
+++ b/src/bin/haventrack-proxy.rs
@@ -9,6 +9,7 @@
 use haventrack::proxy::counters::Counters;
 use haventrack::proxy::discovery::{Translator, Watcher};
 use haventrack::proxy::driver::{Driver, Limits};
+use haventrack::proxy::inherited;
 use haventrack::proxy::lifecycle::Lifecycle;
 use haventrack::proxy::log;
 use haventrack::proxy::operator::Operator;
@@ -56,9 +57,9 @@
 
 /// Reads the configuration again at each SIGHUP, for as long as the proxy runs, and tells where discovery is
 /// now. Serving goes on meanwhile; a file that can't be used changes nothing.
-async fn follow_configuration(mut reload: Signal, discovery: watch::Sender<SocketAddr>) {
+async fn follow_configuration(mut reload: Signal, discovery: watch::Sender<SocketAddr>, shared: bool) {
     while reload.recv().await.is_some() {
-        match Config::from_env() {
+        match Config::from_env(shared) {
             Ok(config) => {
                 log(format_args!("read the configuration again: discovery is at {}", config.discovery));
                 discovery
@@ -69,8 +70,13 @@
     }
 }
 
-async fn run(config: Config, signals: Signals) -> Result<(), Box<dyn Error>> {
+async fn run(
+    config: Config,
+    inherited: Option<std::net::TcpListener>,
+    signals: Signals,
+) -> Result<(), Box<dyn Error>> {
     let clock = Clock::start();
+    let shared = inherited.is_some();
     let calls = config.operator.map(|at| listen(at).map_err(|e| format!("cannot listen on {at}: {e}")));
     let calls = calls.transpose()?;
     if let Some(calls) = &calls {
@@ -90,7 +96,10 @@
         config.names.report.clone(),
         Rc::clone(&counters),
     );
-    let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let listener = match inherited {
+        Some(listener) => TcpListener::from_std(listener)?,
+        None => listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?,
+    };
     log(format_args!("{} listens on {}", config.name, listener.local_addr()?));
     let balancer = Balancer::new(settings.clone(), config.seed, clock.now())?;
     let (subscribe, subscriptions) = mpsc::unbounded_channel();
@@ -111,37 +120,44 @@
         Clients::new(handle, clock, &settings, &config.names, Rc::clone(&lifecycle), counters, most);
 
     let Signals { mut stop, reload } = signals;
-    tokio::task::spawn_local(follow_configuration(reload, discovery));
+    tokio::task::spawn_local(follow_configuration(reload, discovery, shared));
     let driver = tokio::task::spawn_local(driver.run());
     tokio::task::spawn_local(fleet.sweep());
-    tokio::task::spawn_local(Rc::clone(&clients).accept(listener));
+    let accepting = tokio::task::spawn_local(Rc::clone(&clients).accept(listener));
     watcher.start_from(config.known);
     tokio::task::spawn_local(watcher.run());
     tokio::select! {
         ended = driver => Err(format!("the driver ended: {ended:?}").into()),
         _ = stop.recv() => {
-            drain(&clients, &lifecycle, Duration::from_micros(longest)).await;
+            if shared {
+                // What is in the queue is for the process that comes after this one.
+                accepting.abort();
+            }
+            drain(&clients, &lifecycle, Duration::from_micros(longest), shared).await;
             Ok(())
         }
     }
 }
 
 /// Finishes what was taken, and what still comes.
-async fn drain(clients: &Clients, lifecycle: &Lifecycle, longest: Duration) {
+async fn drain(clients: &Clients, lifecycle: &Lifecycle, longest: Duration, shared: bool) {
     let began = Instant::now();
     let end = began + longest + DRAIN_SLACK;
     lifecycle.stop(end);
-    while began.elapsed() < DRAIN_LEAST || (clients.quiet() < DRAIN_QUIET && began.elapsed() < longest) {
+    while !shared
+        && (began.elapsed() < DRAIN_LEAST || (clients.quiet() < DRAIN_QUIET && began.elapsed() < longest))
+    {
         sleep(DRAIN_STEP).await;
     }
     while clients.open() > 0 && timeout_at(end, clients.one_ended()).await.is_ok() {}
 }
 
 fn start() -> Result<(), Box<dyn Error>> {
+    let inherited = inherited::from_env()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
         let signals = Signals::install()?;
-        run(Config::from_env()?, signals).await
+        run(Config::from_env(inherited.is_some())?, inherited, signals).await
     })
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,5 @@
 #![doc = include_str!("../README.md")]
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 
 pub mod api;
 pub mod balancer;
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -153,21 +153,26 @@
 }
 
 impl Config {
-    /// Reads the file that the environment names.
+    /// Reads the file that the environment names. `shared` tells whether the limits may hold for two processes
+    /// at a time, as at an upgrade.
     ///
     /// # Errors
     /// Says in one line what is missing or wrong.
-    pub fn from_env() -> Result<Self, ConfigError> {
+    pub fn from_env(shared: bool) -> Result<Self, ConfigError> {
         let path = PathBuf::from(env::var_os("EDGE_CONFIG").ok_or(ConfigError::Missing("EDGE_CONFIG"))?);
         let text = fs::read(&path).map_err(|e| ConfigError::Unreadable(path, e))?;
-        Self::parse(&text, |name| env::var(name).ok())
+        Self::parse(&text, |name| env::var(name).ok(), shared)
     }
 
     /// Reads the configuration from JSON text; `variable` fills in what the text leaves out.
     ///
     /// # Errors
     /// Says what is missing or wrong.
-    pub fn parse(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+    pub fn parse(
+        text: &[u8],
+        variable: impl Fn(&str) -> Option<String>,
+        shared: bool,
+    ) -> Result<Self, ConfigError> {
         let raw: RawConfig = serde_json::from_slice(text).map_err(ConfigError::Malformed)?;
         let address = |field: &'static str, given: Option<String>, name: &str| {
             let given = given.or_else(|| variable(name)).unwrap_or_default();
@@ -178,7 +183,8 @@
         let named = |list: Vec<Named>| list.into_iter().map(|n| n.name).collect();
         let operator = raw.operator.or_else(|| variable("EDGE_OPERATOR")).filter(|given| !given.is_empty());
         let reserved = RESERVED_SOCKETS + operator.as_ref().map_or(0, |_| 1 + operator::MOST_CALLS);
-        let (client_sockets, backend_sockets, large_answers) = shares(&raw.limits, reserved);
+        let (client_sockets, backend_sockets, large_answers) =
+            shares(&raw.limits, reserved, if shared { 2 } else { 1 });
         Ok(Self {
             name: raw.name.or_else(|| variable("EDGE_NAME")).unwrap_or_default(),
             listen: address("listen", raw.listen, "EDGE_LISTEN")?,
@@ -205,9 +211,9 @@
 /// Client connections, backend connections, and bytes of large answers that there may be at a time. What all of
 /// them may hold has to fit into the memory: two fifths of it for the heads and bodies that came from clients, a
 /// fifth for those from backends, a fifth for large answers.
-fn shares(limits: &RawLimits, reserved: usize) -> (usize, usize, usize) {
-    let free = (limits.sockets.unwrap_or(DEFAULT_SOCKETS)).max(2 * reserved) - reserved;
-    let fifth = limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB).saturating_mul(1 << 20) / 5;
+fn shares(limits: &RawLimits, reserved: usize, processes: usize) -> (usize, usize, usize) {
+    let free = (limits.sockets.unwrap_or(DEFAULT_SOCKETS) / processes).max(2 * reserved) - reserved;
+    let fifth = limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB).saturating_mul(1 << 20) / processes / 5;
     // A client's connection may carry a request that waits for a backend's, so it gets the larger part.
     let clients = (free * 3 / 5).min(2 * fifth / (clients::HEAD_CAP + BODY_CAP));
     let backends = (free - free * 3 / 5).min(fifth / (backends::HEAD_CAP + BODY_CAP));
@@ -228,7 +234,7 @@
     fn what_all_connections_may_hold_fits_into_the_memory() {
         for (sockets, memory_mb) in [(256, 32), (1_024, 32), (1_024, 192), (65_536, 64)] {
             let limits = RawLimits { sockets: Some(sockets), memory_mb: Some(memory_mb) };
-            let (clients, backends, large) = shares(&limits, RESERVED_SOCKETS);
+            let (clients, backends, large) = shares(&limits, RESERVED_SOCKETS, 1);
             let held =
                 clients * (clients::HEAD_CAP + BODY_CAP) + backends * (backends::HEAD_CAP + BODY_CAP) + large;
             assert!(held <= (memory_mb << 20) / 5 * 4, "{held} bytes with {sockets} and {memory_mb}");
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -8,6 +8,7 @@
 pub mod counters;
 pub mod discovery;
 pub mod driver;
+pub mod inherited;
 pub mod lifecycle;
 pub mod operator;
 
--- a/tests/proxy/operating.rs
+++ b/tests/proxy/operating.rs
@@ -200,13 +200,50 @@
 }
 
 #[test]
-fn addresses_that_cannot_be_used_end_the_start_with_one_line() {
+fn a_new_process_takes_over_the_listener_that_the_platform_holds() {
+    let discovery = Discovery::start();
+    let (release, word) = channel();
+    let mut word = Some(word);
+    let backend = Backend::start(move |seen| match seen.header("x-correlation-id") {
+        Some("old") => Reply::After(word.take().expect("one"), Box::new(ok("old"))),
+        _ => ok("fine"),
+    });
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let config = operated("heir", &discovery);
+    let mut old = heir("heir-old", &config, &listener);
+    assert_eq!(old.address, address);
+    let members = [entry("s-1", backend.address, "active", 0)];
+    discovery.post(true, &members);
+    let mut busy = old.client();
+    busy.send(&request("charge", "old", "x"));
+    backend.next();
+    let new = heir("heir-new", &config, &listener);
+    while new.call("GET", READY).status() != 200 {}
+    old.terminate();
+    while old.call("GET", READY).status() != 503 {}
+    // Whatever connects from now on is the new one's.
+    for id in ["a", "b", "c", "d"] {
+        assert_eq!(new.client().ask(&request("submit", id, "x")).status(), 200);
+    }
+    assert_eq!(new.figure("app_handled{category=\"submit\",outcome=\"passed\"}"), 4);
+    release.send(()).expect("the backend waits");
+    assert_eq!(busy.receive().body, b"old");
+    assert!(old.wait().success());
+    assert_eq!(new.client().ask(&request("submit", "e", "x")).status(), 200);
+}
+
+#[test]
+fn addresses_and_descriptors_that_cannot_be_used_end_the_start_with_one_line() {
     let discovery = Discovery::start();
     let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let start = |name: &str, operator: String| {
+    let start = |name: &str, operator: String, fd: Option<&str>| {
         let mut config = config(name, &discovery);
         config["operator"] = operator.into();
         let mut command = command(name, &config.to_string());
+        if let Some(fd) = fd {
+            command.env("EDGE_FD", fd);
+        }
         let output = command.stdin(std::process::Stdio::null()).output().expect("it ends");
         assert!(!output.status.success());
         let text = String::from_utf8(output.stderr).expect("text");
@@ -214,6 +251,12 @@
         text
     };
     let busy = taken.local_addr().expect("an address").to_string();
-    assert!(start("op-odd", "nowhere".into()).contains("`operator` is no address: `nowhere`"));
-    assert!(start("op-taken", busy.clone()).contains(&format!("cannot listen on {busy}")));
+    assert!(start("op-odd", "nowhere".into(), None).contains("`operator` is no address: `nowhere`"));
+    assert!(start("op-taken", busy.clone(), None).contains(&format!("cannot listen on {busy}")));
+    for (fd, words) in
+        [("seven", "no descriptor"), ("-1", "no descriptor"), ("77", "fails"), ("0", "does not listen")]
+    {
+        let text = start("fd-odd", "127.0.0.1:0".into(), Some(fd));
+        assert!(text.contains("EDGE_FD") && text.contains(words), "{text}");
+    }
 }
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -4,6 +4,7 @@
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -278,6 +279,14 @@
     command
 }
 
+/// The program with this configuration and a listening socket of the platform's, as its standard input.
+pub fn heir(name: &str, config: &Value, listener: &TcpListener) -> Proxy {
+    let listener: OwnedFd = listener.try_clone().expect("a clone").into();
+    let mut command = command(name, &config.to_string());
+    command.env("EDGE_FD", "0").stdin(Stdio::from(listener));
+    Proxy::follow(name, command.spawn().expect("the program starts"))
+}
+
 impl Proxy {
     /// A proxy that is up with these backends.
     pub fn start(name: &str, discovery: &Discovery, members: &[Value]) -> Self {
