Make sockets before they are connected, so that connects do not fail with EBADF

Ruled out: no room for sockets, backends that left while the connection came up (no such lines), idle connections dropped (the pool was empty since nothing came up).

`backends.rs` and `discovery.rs` used `TcpStream::connect`, which makes and connects a socket in one call.

--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -5,7 +5,7 @@
 
 use super::bodies::{AnswerBody, CallBody, Gathered, Giver, Passing, ToBackend, next_data};
 use super::counters::Counters;
-use super::{BODY_CAP, PASS_CAP};
+use super::{BODY_CAP, PASS_CAP, connect};
 use crate::api::{BackendId, Micros, Outcome, Readiness};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -377,9 +377,8 @@
         let counted = Counted::new(&self.sockets);
         let life = server.life.get();
         let until = until.min(Instant::now() + self.dial_timeout);
-        let connecting = timeout_at(until, TcpStream::connect(server.address.get())).await;
+        let connecting = timeout_at(until, connect(server.address.get())).await;
         let stream = connecting.map_err(|_| NoConn::Backends)??;
-        stream.set_nodelay(true)?;
         let (written, whole_at, counters) = (Cell::new(0), Cell::new(None), Rc::clone(&self.counters));
         let wire = Rc::new(Wire { stream, written, whole_at, counters });
         let io = TokioIo::new(WireIo(Rc::clone(&wire)));
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -4,7 +4,7 @@
 use super::config::Names;
 use super::driver::{Handle, Message, Scope};
 use super::lifecycle::Lifecycle;
-use super::log;
+use super::{connect, log};
 use crate::api::{Backend, BackendId, Readiness};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -19,7 +19,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
@@ -422,8 +421,7 @@
 }
 
 async fn dial(address: SocketAddr) -> Option<Conn> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    stream.set_nodelay(true).ok()?;
+    let stream = connect(address).await.ok()?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     let task = tokio::task::spawn_local(async move {
         let _ = connection.await;
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -17,7 +17,10 @@
 pub mod operator;
 
 use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
 use std::time::Instant;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// What is held whole of any body; beyond it, the first bytes of an answer matter.
 pub const BODY_CAP: usize = 64 * 1024;
@@ -44,6 +47,14 @@
     (count < LINES_A_SECOND).then_some(0)
 }
 
+/// Connects to a backend or to discovery. The socket is made first and connected then: made and connected in one
+/// call, most connects of whole fleets were seen to fail with EBADF on the bench's clock.
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_nodelay(true)?;
+    socket.connect(address).await
+}
+
 /// A line for the operators. Unlike `eprintln!` it does not panic when nobody reads standard error.
 pub fn log(line: std::fmt::Arguments<'_>) {
     use std::io::Write;
