Keep clients' connections near the cap, and spare those that came just now

Cause: at seven eighths of the cap each answer closed its connection (`clients.rs`, `respond`), which is a leftover of the time when nothing else made room; and a connection whose first bytes had not been read yet counted as silent, the cheapest to lose (`lines.rs`, `cost`). The one who waits to be accepted now looks again when an answer leaves a connection idle, and a connection is not idle while its client has not taken what was written to it.

--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -5,7 +5,7 @@
 
 use super::bodies::{AnswerBody, CallBody, Gathered, Giver, Passing, ToBackend, next_data};
 use super::counters::Counters;
-use super::{BODY_CAP, PASS_CAP, connect};
+use super::{ANSWER_STALL, BODY_CAP, PASS_CAP, connect};
 use crate::api::{BackendId, Micros, Outcome, Readiness};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -41,8 +41,6 @@
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// An answer of unknown length begins to be passed on this long after its head, if it is not whole by then.
 const BEGIN_AFTER: Duration = Duration::from_millis(250);
-/// How long a backend may say nothing, and a client take nothing, of an answer that has begun.
-const ANSWER_STALL: Duration = Duration::from_secs(10);
 /// The largest head of an answer, and what a connection reads ahead: one that does not end must not take
 /// memory until the request's time is up.
 pub(super) const HEAD_CAP: usize = 16 * 1024;
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -79,6 +79,8 @@
     budget: Budget,
     open: Cell<usize>,
     freed: Notify,
+    /// Somebody waits to be accepted, and looks again when a connection has ended or become idle.
+    wants_room: Cell<bool>,
     lines: RefCell<Lines>,
     accepted_at: Cell<Instant>,
     /// The ids of the requests that have no answer yet.
@@ -144,6 +146,7 @@
             budget,
             open: Cell::new(0),
             freed: Notify::new(),
+            wants_room: Cell::new(false),
             lines: RefCell::default(),
             accepted_at: Cell::new(Instant::now()),
             ids: RefCell::default(),
@@ -174,8 +177,10 @@
             // Connections that are held without a request would keep them there: the cheapest to lose goes.
             while self.open.get() >= self.budget.clients {
                 self.lines.borrow().make_room();
+                self.wants_room.set(true);
                 self.freed.notified().await;
             }
+            self.wants_room.set(false);
             match listener.accept().await {
                 Ok((stream, _)) => {
                     self.accepted_at.set(Instant::now());
@@ -191,6 +196,13 @@
         }
     }
 
+    /// Some connection may be cheaper to lose than before.
+    fn look_for_room(&self) {
+        if self.wants_room.get() {
+            self.freed.notify_waiters();
+        }
+    }
+
     async fn connection(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let line = Rc::new(Line::new(HEAD_CAP));
@@ -210,7 +222,10 @@
             Box::pin(async move {
                 let mut response = clients.respond(request, &line, number).await;
                 match response.body_mut() {
-                    ToClient::Whole(_) => line.answer(),
+                    ToClient::Whole(_) => {
+                        line.answer();
+                        clients.look_for_room();
+                    }
                     ToClient::Passing(passing) => passing.hold(line),
                 }
                 Ok::<_, Infallible>(response)
@@ -252,6 +267,7 @@
                     if line.is_cheap() {
                         return;
                     }
+                    self.look_for_room();
                 }
             }
         };
@@ -289,8 +305,7 @@
                 response
             })
         };
-        // Close to the cap, connections are given back after each answer.
-        if self.lifecycle.is_leaving() || self.open.get() * 8 >= self.budget.clients * 7 {
+        if self.lifecycle.is_leaving() {
             close(&mut response);
         }
         response
--- a/src/proxy/lines.rs
+++ b/src/proxy/lines.rs
@@ -1,6 +1,7 @@
 //! The clients' connections as they look from outside: how far each one is, since when, and what it would cost to
 //! lose it.
 
+use super::ANSWER_STALL;
 use super::clients::REQUEST_TIME;
 use super::framing::Framing;
 use rustc_hash::FxHashMap;
@@ -21,14 +22,19 @@
 /// What it costs to lose a connection, the cheapest first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Cost {
-    /// It never brought a byte.
+    /// It never brought a byte, and had time for some.
     Silent,
     /// It had requests and has none now.
     Idle,
-    /// A part of a head has come.
+    /// A part of a head has come, and nothing more for a while.
     Begun,
+    /// It may bring a request at any moment: it came just now, or its head is coming.
+    Fresh,
 }
 
+/// What has moved this lately may well go on.
+const FRESH: Duration = Duration::from_millis(500);
+
 /// One connection.
 pub struct Line {
     framing: RefCell<Framing>,
@@ -39,6 +45,8 @@
     begun: Cell<Instant>,
     asked: Cell<u64>,
     answered: Cell<u64>,
+    /// Its client takes what it is sent more slowly than it comes.
+    stuck: Cell<bool>,
     go: Notify,
     going: Cell<bool>,
 }
@@ -55,6 +63,7 @@
             begun: Cell::new(now),
             asked: Cell::new(0),
             answered: Cell::new(0),
+            stuck: Cell::new(false),
             go: Notify::new(),
             going: Cell::new(false),
         }
@@ -87,7 +96,7 @@
     /// Whether no request is on it, nor a part of one.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.cost().is_some_and(|cost| cost < Cost::Begun)
+        !self.has_request() && !self.stuck.get() && self.framing.borrow().is_between()
     }
 
     /// Whether no whole request is on it.
@@ -99,6 +108,9 @@
     /// When its client has taken too long, where it is the client's turn.
     #[must_use]
     pub fn late(&self) -> Option<Instant> {
+        if self.stuck.get() {
+            return Some(self.moved.get() + ANSWER_STALL);
+        }
         if self.has_request() {
             return None;
         }
@@ -125,15 +137,16 @@
     /// `None` for one with a request.
     fn cost(&self) -> Option<Cost> {
         let framing = self.framing.borrow();
-        if self.has_request() {
-            None
-        } else if framing.is_in_head() {
-            Some(Cost::Begun)
-        } else if framing.is_between() {
-            Some(if self.asked.get() == 0 { Cost::Silent } else { Cost::Idle })
-        } else {
-            None
+        if self.has_request() || self.stuck.get() {
+            return None;
         }
+        let cost = match (framing.is_between(), framing.is_in_head(), self.asked.get()) {
+            (true, _, 0) => Cost::Silent,
+            (true, ..) => return Some(Cost::Idle),
+            (_, true, _) => Cost::Begun,
+            _ => return None,
+        };
+        Some(if self.moved.get().elapsed() < FRESH { Cost::Fresh } else { cost })
     }
 
     fn read(&self, bytes: &[u8]) {
@@ -199,6 +212,7 @@
     }
 
     fn wrote(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.line.stuck.set(written.is_pending());
         if written.is_ready() {
             self.line.moved.set(Instant::now());
         }
@@ -270,9 +284,10 @@
 
     #[tokio::test(start_paused = true)]
     async fn the_cheapest_to_lose_goes_first_and_one_with_a_request_never() {
-        let (lines, all) = lines::<6>();
+        let (lines, all) = lines::<9>();
         let step = || tokio::time::advance(Duration::from_millis(10));
-        let [asking, begun, begun_later, kept, silent, _pipelined] = &all;
+        let [asking, begun, begun_later, kept, silent, _pipelined, stuck, fresh, coming] = &all;
+        stuck.stuck.set(true);
         asking.read(HEAD);
         let _ = asking.ask();
         all[5].read(&HEAD.repeat(2));
@@ -284,11 +299,18 @@
         begun.read(&HEAD[..5]);
         step().await;
         begun_later.read(&HEAD[..5]);
+        tokio::time::advance(FRESH).await;
+        fresh.moved.set(Instant::now());
+        coming.read(&HEAD[..5]);
         assert!(silent.is_idle() && kept.is_idle() && !begun.is_idle() && begun.is_cheap());
-        for order in [vec![4], vec![3, 4], vec![1, 3, 4], vec![1, 2, 3, 4], vec![1, 2, 3, 4]] {
+        for most in 1..=4 {
             lines.make_room();
+            let mut order = [4, 3, 1, 2][..most].to_vec();
+            order.sort_unstable();
             assert_eq!(going(&all), order);
         }
+        (0..3).for_each(|_| lines.make_room());
+        assert_eq!(going(&all), [1, 2, 3, 4, 7, 8], "those that may go on come last");
     }
 
     #[tokio::test(start_paused = true)]
@@ -309,5 +331,7 @@
         tokio::time::advance(Duration::from_secs(1)).await;
         line.read(&HEAD[5..9]);
         assert_eq!(line.late(), Some(begun + HEAD_TIME), "a later one counts from its first byte");
+        line.stuck.set(true);
+        assert!(line.late() > Some(begun + HEAD_TIME), "an answer is not cut off while its client reads");
     }
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -19,7 +19,7 @@
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpSocket, TcpStream};
 
 /// What is held whole of any body; beyond it, the first bytes of an answer matter.
@@ -28,6 +28,9 @@
 /// The largest body that is passed on, either way. They reach 32 MB.
 pub const PASS_CAP: u64 = 40 << 20;
 
+/// How long a backend may say nothing, and a client take nothing, of an answer that has begun.
+const ANSWER_STALL: Duration = Duration::from_secs(10);
+
 /// The lines of the log in a second; no peer can make it grow faster.
 const LINES_A_SECOND: u32 = 100;
 
@@ -68,7 +71,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use std::time::Duration;
 
     #[test]
     fn a_flood_of_lines_is_cut_off_and_counted() {
