Let held bodies grow in steps, so that they take what was reserved for them

A body that is held whole grew by doubling (`Gathered`, `bodies.rs`), so that the budget's fifth of the memory could become two.

A further test: operators are answered while clients hold every connection that they may.

--- a/src/proxy/bodies.rs
+++ b/src/proxy/bodies.rs
@@ -1,11 +1,11 @@
 //! Bodies: held whole, or passed on piece by piece. One that is passed on is held back by whoever reads it, so it
 //! takes the memory of a few pieces whatever its size.
 
-use super::PASS_CAP;
 use super::budget::Reserved;
 use super::counters::{Counters, End, Ticket};
 use super::lines::Line;
-use bytes::{Bytes, BytesMut};
+use super::{BODY_CAP, PASS_CAP};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
@@ -475,11 +475,12 @@
     Ok(None)
 }
 
-/// Puts pieces together without a copy where there is only one.
+/// Puts pieces together without a copy where there is only one. It grows in steps, not by doubling: what it takes
+/// is what was reserved for it.
 #[derive(Default)]
 pub struct Gathered {
     one: Bytes,
-    more: BytesMut,
+    more: Vec<u8>,
 }
 
 impl Gathered {
@@ -488,10 +489,14 @@
         if self.one.is_empty() && self.more.is_empty() {
             self.one = data;
         } else {
-            if self.more.is_empty() {
-                self.more.extend_from_slice(&std::mem::take(&mut self.one));
+            let one = std::mem::take(&mut self.one);
+            for data in [one, data] {
+                let lacking = (self.more.len() + data.len()).saturating_sub(self.more.capacity());
+                if lacking > 0 {
+                    self.more.reserve_exact(data.len().next_multiple_of(BODY_CAP));
+                }
+                self.more.extend_from_slice(&data);
             }
-            self.more.extend_from_slice(&data);
         }
     }
 
@@ -510,6 +515,27 @@
     /// All of them.
     #[must_use]
     pub fn take(self) -> Bytes {
-        if self.more.is_empty() { self.one } else { self.more.freeze() }
+        if self.more.is_empty() { self.one } else { Bytes::from(self.more) }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn pieces_become_one_body_that_takes_little_more_than_its_bytes() {
+        let whole: Vec<u8> = (0..700_000_u32).map(|i| (i / 3) as u8).collect();
+        for size in [13, 9_000, 700_000] {
+            let mut gathered = Gathered::default();
+            let mut most = 0;
+            for piece in whole.chunks(size) {
+                gathered.add(Bytes::copy_from_slice(piece));
+                most = most.max(gathered.more.capacity().saturating_sub(gathered.len()));
+            }
+            assert!(most <= BODY_CAP, "{most} bytes more than it holds");
+            assert_eq!(gathered.len(), whole.len());
+            assert!(gathered.take() == whole);
+        }
     }
 }
--- a/tests/proxy/operating.rs
+++ b/tests/proxy/operating.rs
@@ -87,6 +87,28 @@
     }
 }
 
+/// Clients hold all the connections that they may, and more of them wait in the kernel's queue.
+#[test]
+fn calls_are_answered_while_clients_hold_every_connection() {
+    let discovery = Discovery::start();
+    let (backend, _releases) = full_backend();
+    let mut config = operated("crowded-calls", &discovery);
+    config["limits"]["sockets"] = 90.into();
+    let proxy = Proxy::start_with("crowded-calls", config);
+    discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+    let _busy = fill(&proxy, &backend);
+    let _crowd: Vec<Client> = (0..100)
+        .map(|i| {
+            let mut client = proxy.client();
+            client.send(if i % 2 == 0 { "" } else { "POST /cha" });
+            client
+        })
+        .collect();
+    assert_eq!(proxy.call("GET", READY).status(), 200);
+    assert_eq!(proxy.figure("app_in_progress"), 2);
+    assert_eq!(proxy.client().ask(UP).status(), 200, "a client that asks is let in at the cost of those");
+}
+
 #[test]
 fn figures_follow_the_requests() {
     let discovery = Discovery::start();
