--- a/src/proxy/bodies.rs
+++ b/src/proxy/bodies.rs
@@ -254,15 +254,20 @@
     }
 }
 
-/// The body of an attempt.
-pub enum ToBackend {
+/// A body on its way out.
+pub enum Sent<P> {
     /// Held whole.
     Whole(Full<Bytes>),
     /// Flows through.
-    Passing(Box<Upload>),
+    Passing(P),
 }
 
-impl Body for ToBackend {
+/// The body of an attempt.
+pub type ToBackend = Sent<Box<Upload>>;
+/// The body of an answer to a client.
+pub type ToClient = Sent<Passing>;
+
+impl<P: Body<Data = Bytes, Error = io::Error> + Unpin> Body for Sent<P> {
     type Data = Bytes;
     type Error = io::Error;
 
@@ -272,21 +277,21 @@
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match self.get_mut() {
             Self::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            Self::Passing(upload) => Pin::new(upload.as_mut()).poll_frame(cx),
+            Self::Passing(body) => Pin::new(body).poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(body) => body.is_end_stream(),
-            Self::Passing(upload) => upload.is_end_stream(),
+            Self::Passing(body) => body.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(body) => body.size_hint(),
-            Self::Passing(upload) => upload.size_hint(),
+            Self::Passing(body) => body.size_hint(),
         }
     }
 }
@@ -416,14 +421,6 @@
     Passing(Passing),
 }
 
-/// The body of an answer to a client.
-pub enum ToClient {
-    /// Held whole.
-    Whole(Full<Bytes>),
-    /// Flows through.
-    Passing(Passing),
-}
-
 impl From<AnswerBody> for ToClient {
     fn from(body: AnswerBody) -> Self {
         match body {
@@ -433,35 +430,6 @@
     }
 }
 
-impl Body for ToClient {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        match self.get_mut() {
-            Self::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            Self::Passing(body) => Pin::new(body).poll_frame(cx),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Whole(body) => body.is_end_stream(),
-            Self::Passing(body) => body.is_end_stream(),
-        }
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Whole(body) => body.size_hint(),
-            Self::Passing(body) => body.size_hint(),
-        }
-    }
-}
-
 /// The next data of a body; `None` at its end.
 ///
 /// # Errors
