Hold bodies in pieces of one size, so that none leaves memory behind as it grows

What was left is what `Gathered` (`bodies.rs`) left behind at each growth in place.

Now a held body is a list of pieces of 64 KiB, which fit where others were, and is sent piece by piece.

--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -3,12 +3,10 @@
 //! A request is written to a connection once and never again by this side: whether it may be repeated is the
 //! module's to say, and it can only say so if it knows whether the last byte went out (`Wire` counts).
 
-use super::bodies::{AnswerBody, CallBody, Gathered, Giver, Passing, ToBackend, next_data};
+use super::bodies::{AnswerBody, CallBody, Gathered, Giver, Held, Passing, ToBackend, next_data};
 use super::counters::Counters;
 use super::{ANSWER_STALL, BODY_CAP, PASS_CAP, connect};
 use crate::api::{BackendId, Micros, Outcome, Readiness};
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{
@@ -471,7 +469,7 @@
                 if outcome == Outcome::Ok {
                     self.keep(&server, conn);
                 }
-                let body = ReplyBody::Whole(Bytes::new());
+                let body = ReplyBody::Whole(Held::default());
                 Ended { outcome, served: None, ..self.ended(Reply { status, headers, body }) }
             }
             Ok(reply) => {
@@ -537,8 +535,9 @@
             Err(no_conn) => return no_conn.outcome().into(),
         };
         let target = Uri::from_static(if deep { "/metrics/load" } else { "/alive" });
-        let call = Call { method: Method::GET, target, headers: HeaderMap::new(), body: Bytes::new().into() };
-        let body = ToBackend::Whole(Full::default());
+        let call =
+            Call { method: Method::GET, target, headers: HeaderMap::new(), body: Held::default().into() };
+        let body = ToBackend::Whole(Held::default());
         let request = request(&call, body, &server, PROBE_TIMEOUT);
         match timeout_at(until, exchange(&mut conn.sender, request)).await {
             Err(_) => Outcome::Timeout.into(),
@@ -546,7 +545,7 @@
             Ok(Err(_)) => Outcome::Reset.into(),
             Ok(Ok(reply)) => {
                 let body = match &reply.body {
-                    ReplyBody::Whole(body) => String::from_utf8_lossy(body).into_owned(),
+                    ReplyBody::Whole(body) => String::from_utf8_lossy(&body.joined()).into_owned(),
                     _ => return Outcome::Spoilt.into(),
                 };
                 self.keep(&server, conn);
@@ -597,7 +596,7 @@
 
 enum ReplyBody {
     /// The whole of it.
-    Whole(Bytes),
+    Whole(Held),
     /// It is good so far and is to be passed on.
     Begins(Rest),
     /// It is of no use, and too large to be read for the sake of its connection.
@@ -606,7 +605,7 @@
 
 /// An answer of which a part has come.
 struct Rest {
-    first: Bytes,
+    first: Held,
     body: Incoming,
     length: Option<u64>,
 }
@@ -668,9 +667,12 @@
 /// Passes an answer on as fast as its client takes it.
 async fn pass_on(giver: Giver, rest: Rest, mut cancel: oneshot::Receiver<()>) -> Outcome {
     let Rest { first, mut body, .. } = rest;
-    let mut passed = first.len() as u64;
-    if !first.is_empty() && giver.give(first, ANSWER_STALL).await.is_err() {
-        return Outcome::Cancelled;
+    let mut passed = 0;
+    for piece in first.into_pieces() {
+        passed += piece.len() as u64;
+        if giver.give(piece, ANSWER_STALL).await.is_err() {
+            return Outcome::Cancelled;
+        }
     }
     loop {
         let data = tokio::select! {
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -1,7 +1,7 @@
 //! The clients' side: the listener, requests in, answers out.
 
 use super::backends::Call;
-use super::bodies::{AnswerBody, CallBody, Gathered, Pace, ToClient, Upload, next_data};
+use super::bodies::{AnswerBody, CallBody, Gathered, Held, Pace, ToClient, Upload, next_data};
 use super::budget::{Budget, Reserved};
 use super::clock::Clock;
 use super::config::Names;
@@ -12,7 +12,6 @@
 use super::{BODY_CAP, PASS_CAP, log};
 use crate::api::{Effect, Micros, RequestId, Settings};
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
@@ -107,7 +106,7 @@
         }
     }
 
-    pub(super) fn into_response(self) -> Response<Full<Bytes>> {
+    pub(super) fn into_response(self) -> Response<Held> {
         let mut response = plain(self.status, self.why);
         if let Some(allowed) = self.allow {
             response.headers_mut().insert(header::ALLOW, HeaderValue::from_static(allowed));
@@ -311,7 +310,7 @@
         response
     }
 
-    fn up(&self) -> Response<Full<Bytes>> {
+    fn up(&self) -> Response<Held> {
         if self.lifecycle.is_up() {
             plain(StatusCode::OK, "up\n")
         } else {
@@ -523,14 +522,14 @@
     })
 }
 
-pub(super) fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+pub(super) fn plain(status: StatusCode, text: &'static str) -> Response<Held> {
+    let mut response = Response::new(Held::from(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     response
 }
 
-fn refusal(retry_after: Micros) -> Response<Full<Bytes>> {
+fn refusal(retry_after: Micros) -> Response<Held> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "no room\n");
     if retry_after > 0
         && let Ok(seconds) = HeaderValue::try_from(format!("{:.3}", retry_after as f64 / 1e6))
--- a/src/proxy/operator.rs
+++ b/src/proxy/operator.rs
@@ -1,13 +1,14 @@
 //! The operators' address: one call to a connection, answered from memory.
 
 use super::backends::Fleet;
+use super::bodies::Held;
 use super::clients::{Rejected, linger, plain};
 use super::counters::Counters;
 use super::driver::{Handle, Message};
 use super::lifecycle::{IsStopping, Lifecycle};
 use super::log;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
@@ -39,7 +40,7 @@
 /// The text form of the figures.
 const FORM: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4; charset=utf-8");
 
-type Answer = Response<Full<Bytes>>;
+type Answer = Response<Held>;
 
 /// Answers operators.
 pub struct Operator {
@@ -146,7 +147,7 @@
         let (sender, avoided) = oneshot::channel();
         self.handle.tell(Message::Avoided(sender));
         let text = self.counters.text(self.fleet.len(), avoided.await.unwrap_or_default());
-        let mut response = Response::new(Full::new(Bytes::from(text)));
+        let mut response = Response::new(Held::from(Bytes::from(text)));
         response.headers_mut().insert(header::CONTENT_TYPE, FORM);
         response
     }
