Open silent watches anew before what they miss counts as told

Evidence: watches fall silent at 0 to 2 s. A watch waited 20 s, its answer was missed only 5 s after that, so it was opened again from 25 s on; what it missed counts as told 2 s after its wait, at 22 s, and the grace ends at 24 s. In pushed mode 3 + 5 s against 6 s. Behind the time-out the module spread the next call over 0.2 s for each proxy, up to a minute for 300.

Lines at fault: CALL_TIMEOUT beside every wait in `call`; `after_failure`, which told a time-out as any failure.

Change: a continued watch is given up 1 s after its wait; one that begins waits for 1 s only and keeps its 5 s, so that a call whose turn has not come is not dropped and made again; the module opens a silent one at once. Waits differ from proxy to proxy, for watches begin together at each change and, silent together, would come back together.

Read between the lines of `discovery.rs`: a move while a call is out drops the call with `follow`, impossible to pass its list on later; a move while an ask is taken sets `moved`, which calls by itself; an ask left in the channel by a timer that rang while the watch stood would be taken as the answer to a later failure: emptied now before each. A connection that closes between two calls ends as a failure and is told as such.

The tests fail with the old times.

--- a/src/api.rs
+++ b/src/api.rs
@@ -233,6 +233,8 @@
     Cached(&'a [Backend]),
     /// A call to discovery failed, or the subscription broke.
     Failed,
+    /// The subscription has said nothing for longer than it may. (Real sockets only.)
+    Silent,
 }
 
 /// A request that a client sent.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -217,6 +217,8 @@
                 (entries, true)
             }
             Membership::Failed => return self.resubscribe_later(out),
+            // Departure: what a silent subscription misses counts as told soon, so it is renewed at once.
+            Membership::Silent => return out.push(Action::Subscribe),
         };
         self.subscribe_failures = 0;
         if complete {
--- a/src/bin/haventrack-proxy.rs
+++ b/src/bin/haventrack-proxy.rs
@@ -7,7 +7,7 @@
 use haventrack::proxy::clock::Clock;
 use haventrack::proxy::config::Config;
 use haventrack::proxy::counters::Counters;
-use haventrack::proxy::discovery::{Translator, Watcher};
+use haventrack::proxy::discovery::{Asked, Translator, Watcher};
 use haventrack::proxy::driver::{Driver, Limits};
 use haventrack::proxy::inherited;
 use haventrack::proxy::lifecycle::Lifecycle;
@@ -85,7 +85,6 @@
     let counters = Counters::new(&config.names.classes);
     let settings = config.settings;
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
-    let asked = settings.discovery_on_request;
     let limits =
         Limits { max_attempts: settings.permissions.max_attempts, report_by_probe: settings.report_by_probe };
     let fleet = Fleet::new(
@@ -110,10 +109,10 @@
         tokio::task::spawn_local(operator.serve(calls));
     }
     let translator = Translator::new(clock, &config.names);
-    let subscriptions = asked.then_some(subscriptions);
+    let asked = Asked::new(subscriptions, settings.me, settings.balancers);
+    let asked = settings.discovery_on_request.then_some(asked);
     let (discovery, addresses) = watch::channel(config.discovery);
-    let mut watcher =
-        Watcher::new(addresses, translator, handle.clone(), Rc::clone(&lifecycle), subscriptions);
+    let mut watcher = Watcher::new(addresses, translator, handle.clone(), Rc::clone(&lifecycle), asked);
     let (names, budget) = (&config.names, config.budget);
     let clients = Clients::new(handle, clock, &settings, names, Rc::clone(&lifecycle), counters, budget);
 
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -26,11 +26,23 @@
 /// How long a watch may wait. An agent on this machine costs nothing to ask: a short wait bounds how long a
 /// broken call goes unnoticed.
 const PUSHED_WAIT: Duration = Duration::from_secs(3);
-/// A service that all proxies share is asked more seldom.
+/// A service that all proxies share is asked more seldom: this is the mean of their waits. Watches that begin
+/// together, as all do at a change, must not end together, for fallen silent they would all come back at once: waits
+/// differ by this much for each proxy, and by so much at the most.
 const ASKED_WAIT: Duration = Duration::from_secs(20);
-/// How long a call may take beyond its wait. Discovery serves calls in turn and ends those that have waited too long
-/// itself; one that is dropped here still takes its turn there, and so would the next.
+const WAITS_DIFFER: Duration = Duration::from_secs(1);
+const WAITS_DIFFER_MOST: Duration = Duration::from_secs(30);
+/// The wait of a call that begins a watch: it may have to wait for its turn as well.
+const FIRST_WAIT: Duration = Duration::from_secs(1);
+/// How long a call that may have to wait for its turn takes in all. Discovery ends those that have waited too long
+/// itself; one that is dropped here still takes its turn there, and so would the next. What a call misses that has
+/// fallen silent counts as told after six seconds.
 const CALL_TIMEOUT: Duration = Duration::from_millis(5_000);
+/// How late the answer to a standing watch may be, which waits for no turn. What it misses counts as told two seconds
+/// after its wait, and by then it has to be opened anew and answered.
+const SILENT_AFTER: Duration = Duration::from_secs(1);
+/// The golden ratio's fraction spreads the proxies' waits evenly, whatever their number.
+const GOLDEN: f64 = 0.618_033_988_749_894_9;
 const FIRST_BACKOFF: Duration = Duration::from_millis(50);
 const MOST_DOUBLINGS: u32 = 4;
 /// The largest list; thousands of entries fit in.
@@ -45,6 +57,25 @@
     pub address: SocketAddr,
 }
 
+/// How discovery is called where it is one service for all proxies.
+#[derive(Debug)]
+pub struct Asked {
+    /// The module's calls for changes.
+    pub calls: mpsc::UnboundedReceiver<()>,
+    /// How long a watch waits that is continued.
+    pub wait: Duration,
+}
+
+impl Asked {
+    /// For the proxy of that number, among so many.
+    #[must_use]
+    pub fn new(calls: mpsc::UnboundedReceiver<()>, me: u32, proxies: u32) -> Self {
+        let span = (WAITS_DIFFER * proxies.saturating_sub(1)).min(WAITS_DIFFER_MOST);
+        let place = (f64::from(me) * GOLDEN).fract();
+        Self { calls, wait: ASKED_WAIT - span / 2 + span.mul_f64(place) }
+    }
+}
+
 /// Why a call to discovery brought nothing.
 #[derive(Debug)]
 pub enum DiscoveryError {
@@ -237,8 +268,8 @@
     handle: Handle,
     /// Told once a list is held.
     lifecycle: Rc<Lifecycle>,
-    /// The module's calls for changes, where discovery has to be asked.
-    asked: Option<mpsc::UnboundedReceiver<()>>,
+    /// Where discovery has to be asked, how.
+    asked: Option<Asked>,
     conn: Option<Conn>,
     /// The version of the list that is held; a watch asks for what is newer.
     revision: Option<u64>,
@@ -258,7 +289,7 @@
         translator: Translator,
         handle: Handle,
         lifecycle: Rc<Lifecycle>,
-        asked: Option<mpsc::UnboundedReceiver<()>>,
+        asked: Option<Asked>,
     ) -> Self {
         Self {
             addresses,
@@ -331,7 +362,7 @@
                     }
                     failures = failures.saturating_add(1);
                     (self.conn, self.watching) = (None, false);
-                    self.after_failure(failures).await;
+                    self.after_failure(&error, failures).await;
                 }
             }
         }
@@ -340,10 +371,10 @@
     async fn wait_for_call(&mut self) {
         if let Some(asked) = &mut self.asked {
             // The driver ends only with the process.
-            if asked.recv().await.is_none() {
+            if asked.calls.recv().await.is_none() {
                 std::future::pending::<()>().await;
             }
-            while asked.try_recv().is_ok() {}
+            while asked.calls.try_recv().is_ok() {}
         }
     }
 
@@ -358,24 +389,36 @@
     }
 
     /// The module decides when a service is asked again; an agent is asked again a little later each time.
-    async fn after_failure(&mut self, failures: u32) {
+    async fn after_failure(&mut self, error: &DiscoveryError, failures: u32) {
         // Without discovery an old list is better than none.
         if self.fallback {
             self.lifecycle.can_serve();
         }
-        if self.asked.is_some() {
-            return self.handle.tell(Message::Listed(Scope::Failed, Vec::new()));
+        if let Some(asked) = &mut self.asked {
+            // What the module asked for while the watch stood is done.
+            while asked.calls.try_recv().is_ok() {}
+            let silent = matches!(error, DiscoveryError::Timeout);
+            let scope = if silent { Scope::Silent } else { Scope::Failed };
+            return self.handle.tell(Message::Listed(scope, Vec::new()));
         }
         sleep(FIRST_BACKOFF * (1 << failures.min(MOST_DOUBLINGS))).await;
     }
 
+    /// How long a watch is asked to wait now, and how long its answer may take.
+    fn patience(&self) -> (Duration, Duration) {
+        match &self.asked {
+            None => (PUSHED_WAIT, PUSHED_WAIT + SILENT_AFTER),
+            Some(asked) if self.watching => (asked.wait, asked.wait + SILENT_AFTER),
+            Some(_) => (FIRST_WAIT, CALL_TIMEOUT),
+        }
+    }
+
     async fn call(&mut self) -> Result<List, DiscoveryError> {
-        let wait = if self.asked.is_some() { ASKED_WAIT } else { PUSHED_WAIT };
         let (target, limit) = match self.revision {
             None => ("/discovery/hosts".to_owned(), CALL_TIMEOUT),
             Some(after) => {
-                let wait_ms = wait.as_millis();
-                (format!("/discovery/hosts?after={after}&wait_ms={wait_ms}"), wait + CALL_TIMEOUT)
+                let (wait, limit) = self.patience();
+                (format!("/discovery/hosts?after={after}&wait_ms={}", wait.as_millis()), limit)
             }
         };
         let body = timeout(limit, self.fetch(&target)).await.map_err(|_| DiscoveryError::Timeout)??;
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -59,6 +59,8 @@
     Cached,
     /// A call to discovery failed.
     Failed,
+    /// A call to discovery has fallen silent.
+    Silent,
 }
 
 /// What the driver is told.
@@ -303,6 +305,7 @@
             Scope::Full => Membership::Full(&backends),
             Scope::Cached => Membership::Cached(&backends),
             Scope::Failed => Membership::Failed,
+            Scope::Silent => Membership::Silent,
         };
         self.feed(now, Event::Membership(news));
     }
--- /dev/null
+++ b/tests/watch.rs
@@ -0,0 +1,224 @@
+//! Discovery's watches over loopback sockets in paused time: the module, the driver and the watcher as the program
+//! puts them together, and a stand-in for discovery on the same runtime. Time moves on when nothing else can.
+
+use haventrack::balancer::Balancer;
+use haventrack::proxy::backends::Fleet;
+use haventrack::proxy::clock::Clock;
+use haventrack::proxy::config::Names;
+use haventrack::proxy::counters::Counters;
+use haventrack::proxy::discovery::{Asked, Translator, Watcher};
+use haventrack::proxy::driver::{Driver, Limits};
+use haventrack::proxy::lifecycle::Lifecycle;
+use haventrack::wire::parse_settings;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, timeout};
+
+/// A call as discovery sees it.
+struct Call {
+    at: Instant,
+    after: Option<u64>,
+    wait: Duration,
+    stream: TcpStream,
+}
+
+/// What the rules say of silence: what is missed counts as told this long after a watch fell silent, or this long
+/// after its wait, whichever is later.
+const TOLD_AFTER_SILENCE: Duration = Duration::from_secs(6);
+const TOLD_AFTER_WAIT: Duration = Duration::from_secs(2);
+
+async fn read_call(mut stream: TcpStream) -> Option<Call> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(head).expect("text");
+    let number = |name: &str| {
+        let (_, rest) = head.lines().next()?.split_once(name)?;
+        rest.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
+    };
+    let wait = Duration::from_millis(number("wait_ms=").unwrap_or_default());
+    Some(Call { at: Instant::now(), after: number("after="), wait, stream })
+}
+
+impl Call {
+    /// Answers, and waits for the next call on this connection.
+    async fn answer(mut self, list: &Value) -> Option<Call> {
+        let text = list.to_string();
+        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+        self.stream.write_all(text.as_bytes()).await.ok()?;
+        read_call(self.stream).await
+    }
+
+    /// When what it misses counts as told if it falls silent at once.
+    fn told_at(&self) -> Instant {
+        self.at + TOLD_AFTER_SILENCE.max(self.wait + TOLD_AFTER_WAIT)
+    }
+}
+
+struct Discovery(TcpListener);
+
+impl Discovery {
+    async fn start() -> (Self, SocketAddr) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        (Self(listener), address)
+    }
+
+    /// The first call on the next connection.
+    async fn next(&self) -> Call {
+        let accepted =
+            timeout(Duration::from_secs(600), self.0.accept()).await.expect("a connection in time");
+        read_call(accepted.expect("a connection").0).await.expect("a call")
+    }
+}
+
+fn list(revision: u64, complete: bool, states: &[(&str, &str)]) -> Value {
+    let member = |&(id, phase): &(&str, &str)| {
+        json!({"id": id, "host_port": "127.0.0.1:9", "locality": "a", "flavor": "m", "cell": 0,
+               "phase": phase, "up_since_ms": 0})
+    };
+    json!({"revision": revision, "complete": complete, "members": states.iter().map(member).collect::<Vec<_>>()})
+}
+
+/// One proxy without clients, as far as it follows discovery.
+struct Proxy {
+    fleet: Rc<Fleet>,
+    moves: watch::Sender<SocketAddr>,
+}
+
+impl Proxy {
+    fn start(me: u32, proxies: u32, mode: &str, discovery: SocketAddr) -> Self {
+        let settings = json!({"me": me, "balancers": proxies, "zone": 0, "failureDomains": ["a"], "kinds": ["m"],
+            "membershipMode": mode,
+            "classes": [{"name": "c", "aimUs": 1_000_000, "deadlineUs": 2_000_000, "worth": 1.0, "effect": "fragile"}],
+            "permissions": {"maxAttempts": 1},
+            "safety": {"coldFrom": 0.3, "coldUs": 1_000_000, "fallMultiple": 3.0, "fallUs": 2_000_000}});
+        let settings = parse_settings(settings.to_string().as_bytes()).expect("good settings");
+        let asked = settings.discovery_on_request;
+        let clock = Clock::start();
+        let fleet = Fleet::new(10, 250_000, 1_000_000, Vec::new(), Counters::new(&[]));
+        let balancer = Balancer::new(settings, u64::from(me) + 1, clock.now()).expect("good settings");
+        let (subscribe, calls) = mpsc::unbounded_channel();
+        let limits = Limits { max_attempts: 1, report_by_probe: false };
+        let (driver, handle) = Driver::new(balancer, clock, Rc::clone(&fleet), limits, subscribe);
+        let names = Names { zones: vec!["a".into()], kinds: vec!["m".into()], ..Names::default() };
+        let (moves, addresses) = watch::channel(discovery);
+        let asked = asked.then(|| Asked::new(calls, me, proxies));
+        let translator = Translator::new(clock, &names);
+        let mut watcher = Watcher::new(addresses, translator, handle, Lifecycle::start(), asked);
+        watcher.start_from(list(1, true, &[("s-1", "active"), ("s-2", "active")]));
+        spawn_local(driver.run());
+        spawn_local(watcher.run());
+        Self { fleet, moves }
+    }
+
+    /// Waits until it holds so many backends; when that was.
+    async fn holds(&self, backends: usize) -> Instant {
+        while self.fleet.len() != backends {
+            sleep(Duration::from_millis(1)).await;
+        }
+        Instant::now()
+    }
+}
+
+async fn local<T>(test: impl Future<Output = T>) -> T {
+    LocalSet::new().run_until(test).await
+}
+
+const ONE_LEFT: [(&str, &str); 1] = [("s-2", "left")];
+
+/// Silence right behind a call, which leaves the least time, at a watch that begins and at one that is continued.
+#[tokio::test(start_paused = true)]
+async fn what_a_silent_watch_misses_is_known_before_it_counts_as_told() {
+    for mode in ["pushed", "on_request"] {
+        for answers in 0..3 {
+            local(async {
+                let (discovery, address) = Discovery::start().await;
+                let proxy = Proxy::start(0, 1, mode, address);
+                let mut silent = discovery.next().await;
+                for revision in 0..answers {
+                    silent = silent.answer(&list(2 + revision, false, &[])).await.expect("a further call");
+                }
+                let (told_at, revision) = (silent.told_at(), silent.after);
+                let again = discovery.next().await;
+                assert_eq!(again.after, revision, "{mode}: it asks for what it lacks");
+                let _open = again.answer(&list(100, false, &ONE_LEFT)).await;
+                let known = proxy.holds(1).await;
+                let late = known.saturating_duration_since(told_at);
+                assert_eq!(late, Duration::ZERO, "{mode}, behind {answers} answers");
+                drop(silent);
+            })
+            .await;
+        }
+    }
+}
+
+/// After a move the whole list is asked for, and that call may fall silent as well.
+#[tokio::test(start_paused = true)]
+async fn a_call_that_falls_silent_behind_a_move_is_made_again_in_time() {
+    for mode in ["pushed", "on_request"] {
+        local(async {
+            let (old, address) = Discovery::start().await;
+            let proxy = Proxy::start(0, 1, mode, address);
+            let _watch = old.next().await;
+            let (new, address) = Discovery::start().await;
+            proxy.moves.send_replace(address);
+            let silent = new.next().await;
+            assert_eq!(silent.after, None, "the version of another service means nothing to this one");
+            let told_at = silent.told_at();
+            let again = new.next().await;
+            let _open = again.answer(&list(7, true, &[("s-1", "active")])).await;
+            assert!(proxy.holds(1).await <= told_at, "{mode}");
+        })
+        .await;
+    }
+}
+
+/// Watches that begin together at a change, and fall silent together, come back one after another.
+#[tokio::test(start_paused = true)]
+async fn proxies_whose_watches_fall_silent_together_do_not_come_back_together() {
+    const PROXIES: u32 = 60;
+    local(async {
+        let (discovery, address) = Discovery::start().await;
+        let proxies: Vec<_> =
+            (0..PROXIES).map(|me| Proxy::start(me, PROXIES, "on_request", address)).collect();
+        let mut began = Vec::new();
+        for _ in 0..PROXIES {
+            began.push(discovery.next().await);
+        }
+        let mut watches = Vec::new();
+        for call in began {
+            watches.push(call.answer(&list(2, false, &[])).await.expect("the watch goes on"));
+        }
+        let back: Vec<_> = watches.iter().map(|call| call.at + call.wait).collect();
+        let busiest = back.iter().map(|&at| {
+            back.iter().filter(|&&other| other >= at && other < at + Duration::from_secs(1)).count()
+        });
+        let busiest = busiest.max().unwrap_or_default();
+        assert!(busiest <= 4, "{busiest} calls in the busiest second");
+        drop((watches, proxies));
+    })
+    .await;
+}
+
+/// One call of a proxy that discovery has not come to yet is not dropped and made again.
+#[tokio::test(start_paused = true)]
+async fn a_call_that_begins_a_watch_has_time_to_wait_for_its_turn() {
+    local(async {
+        let (discovery, address) = Discovery::start().await;
+        let _proxy = Proxy::start(0, 1, "on_request", address);
+        let call = discovery.next().await;
+        sleep(Duration::from_secs(3) + call.wait).await;
+        let next = call.answer(&list(2, false, &[])).await.expect("it goes on on the same connection");
+        assert_eq!(next.after, Some(2));
+        assert!(next.wait > Duration::from_secs(10), "one that is continued waits for no turn");
+    })
+    .await;
+}
