Send nothing for a client that left while its connection came up

Symptom: a request whose client has left may not be sent on 0.3 s later. One whose attempt waits for a new connection was, as soon as that came up: up to the dial's time-out later, 0.25 s here and whatever another site's settings say.

Evidence: over real sockets, a backend whose queue of connections is full, a client that leaves, then room in the queue: the backend read ["stays", "left"], and reads ["stays"] now.

Ruled out: held requests (the module drops them at ClientGone, `a_client_that_left_while_it_was_held_is_forgotten`), between two attempts (`close` has answered, so `again` is not reached and `scope` says Nowhere).

Lines at fault: `ClientGone` in `Driver::take` told the module alone; `try_once` looked at `ready` and `life` behind the dial, not at the client; a request of which a part was written was written on to its end.

Change: the call itself says when it is over. An attempt that is not written whole by then ends as never sent; one that is goes on, for it may run. The driver's own last moment says so too, so nothing is sent behind a final answer.

Between the lines: told before the attempt is first polled: seen first in the biased choice. Told between the dial and the write: no await lies there. Told while the write is under way: count and drop happen in one step.

--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -26,7 +26,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
@@ -46,6 +46,28 @@
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 
+/// Whether a request is over: its client has left or has its final answer.
+#[derive(Debug, Default)]
+pub struct Over {
+    told: Cell<bool>,
+    waiting: Notify,
+}
+
+impl Over {
+    /// It is over.
+    pub fn tell(&self) {
+        self.told.set(true);
+        self.waiting.notify_waiters();
+    }
+
+    /// Waits until it is.
+    pub async fn told(&self) {
+        while !self.told.get() {
+            self.waiting.notified().await;
+        }
+    }
+}
+
 /// What goes to a backend, the same at every attempt.
 #[derive(Debug)]
 pub struct Call {
@@ -57,6 +79,8 @@
     pub headers: HeaderMap,
     /// The body, unchanged.
     pub body: CallBody,
+    /// What is not written whole by then is not sent any more.
+    pub over: Over,
 }
 
 /// A backend's 200 answer.
@@ -426,6 +450,7 @@
             None => tokio::select! {
                 conn = self.dial(&server, give_up) => conn,
                 Ok(()) = &mut cancel => return Outcome::Moot.into(),
+                () = call.over.told() => return Outcome::Moot.into(),
             },
         };
         let mut conn = match conn {
@@ -447,19 +472,29 @@
         let length = request.body().size_hint().exact();
         let whole = length.map(|length| conn.wire.written.get() + least_size(&request, length));
         conn.wire.whole_at.set(whole);
+        let progress = call.body.progress();
+        let is_written = || {
+            whole.map_or_else(
+                || progress.is_some_and(|progress| progress.done_at().is_some()),
+                |whole| conn.wire.written.get() >= whole,
+            )
+        };
+        let not_wanted = async {
+            call.over.told().await;
+            if is_written() {
+                std::future::pending::<()>().await;
+            }
+        };
         let exchanged = tokio::select! {
             biased;
+            () = not_wanted => Err(Broken::Cancelled),
             exchanged = exchange(&mut conn.sender, request) => exchanged,
             Ok(()) = &mut cancel => Err(Broken::Cancelled),
             () = given_up(call, give_up, left) => Err(Broken::TimedOut),
         };
         // Rule 2: what the socket did not take whole can't run; of anything else nothing is certain. Reading
         // the count and dropping the connection happen in one step, so nothing more is written in between.
-        let progress = call.body.progress();
-        let all_written = whole.map_or_else(
-            || progress.is_some_and(|progress| progress.done_at().is_some()),
-            |whole| conn.wire.written.get() >= whole,
-        );
+        let all_written = is_written();
         match exchanged {
             Ok(Reply { body: ReplyBody::Begins(rest), status, headers }) => {
                 let (giver, passing) = Passing::channel(rest.length);
@@ -535,8 +570,8 @@
             Err(no_conn) => return no_conn.outcome().into(),
         };
         let target = Uri::from_static(if deep { "/metrics/load" } else { "/alive" });
-        let call =
-            Call { method: Method::GET, target, headers: HeaderMap::new(), body: Held::default().into() };
+        let (headers, body, over) = (HeaderMap::new(), Held::default().into(), Over::default());
+        let call = Call { method: Method::GET, target, headers, body, over };
         let body = ToBackend::Whole(Held::default());
         let request = request(&call, body, &server, PROBE_TIMEOUT);
         match timeout_at(until, exchange(&mut conn.sender, request)).await {
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -1,6 +1,6 @@
 //! The clients' side: the listener, requests in, answers out.
 
-use super::backends::Call;
+use super::backends::{Call, Over};
 use super::bodies::{AnswerBody, CallBody, Gathered, Held, Pace, ToClient, Upload, next_data};
 use super::budget::{Budget, Reserved};
 use super::clock::Clock;
@@ -427,7 +427,7 @@
         };
         let body = self.collect(body, pace).await?;
         let (target, headers) = origin_form(head.uri, forwarded(head.headers));
-        let call = Call { method: head.method, target, headers, body };
+        let call = Call { method: head.method, target, headers, body, over: Over::default() };
         // The time of a request counts from its last byte.
         let arrived = self.clock.now();
         Ok(Inbound { request, arrived, call })
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -245,6 +245,7 @@
         }
         let Some(client) = open.client.take() else { return };
         let _ = client.send(Answer::Failed);
+        open.call.over.tell();
         self.feed(now, Event::ClientGone(request));
         self.forget(request);
     }
@@ -257,6 +258,8 @@
                 if let Some(open) = self.open.get_mut(&request)
                     && open.client.take().is_some()
                 {
+                    // Rule 1: an attempt that still waits for its connection is not sent for nobody.
+                    open.call.over.tell();
                     self.feed(now, Event::ClientGone(request));
                     self.forget(request);
                 }
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -1,12 +1,12 @@
 //! The proxy's program over loopback sockets: what must hold whatever backends and clients do.
 
 mod forms;
+mod moments;
 mod operating;
 mod rig;
 
 use rig::*;
 use serde_json::json;
-use socket2::{Domain, Socket, Type};
 use std::io::Read;
 use std::net::Shutdown;
 use std::sync::mpsc::{Sender, channel};
@@ -576,20 +576,15 @@
 #[test]
 fn a_backend_that_began_to_drain_while_its_connection_came_up_gets_nothing() {
     let discovery = Discovery::start();
-    // A listener whose queue is full: connections to it come up only when it is emptied.
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    socket.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
-    socket.listen(0).expect("it listens");
-    let listener = std::net::TcpListener::from(socket);
-    let address = listener.local_addr().expect("an address");
-    let filler = std::net::TcpStream::connect(address).expect("the queue takes one");
+    let full = FullQueue::start();
+    let address = full.address;
     let proxy = Proxy::start("slow-connect", &discovery, &[entry("s-1", address, "active", 0)]);
     let mut client = proxy.client();
     client.send(&request("charge", "1", "x"));
     // An answer on another connection shows that the proxy has seen the request.
     assert_eq!(proxy.client().ask(UP).status(), 200);
     discovery.post(false, &[entry("s-1", address, "leaving", 0)]);
-    drop(listener.accept().expect("the filler"));
+    let listener = full.empty();
     let (mut stream, _) = listener.accept().expect("the proxy's connection");
     let got = client.receive();
     assert_eq!(got.status(), 503, "it never ran, so a repeat is harmless");
@@ -597,7 +592,6 @@
     stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
     let _ = stream.read_to_end(&mut sent);
     assert!(sent.is_empty(), "{}", String::from_utf8_lossy(&sent));
-    drop(filler);
 }
 
 #[test]
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -2,6 +2,7 @@
 //! here waits for a span of time: tests wait for events, and the time-outs only end a test that has failed.
 
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
@@ -159,6 +160,31 @@
     }
 }
 
+/// A backend whose queue of connections is full: those to it come up only once it is emptied.
+pub struct FullQueue {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    _filler: TcpStream,
+}
+
+impl FullQueue {
+    pub fn start() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        socket.listen(0).expect("it listens");
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().expect("an address");
+        let filler = TcpStream::connect(address).expect("the queue takes one");
+        Self { address, listener, _filler: filler }
+    }
+
+    /// Lets the connections that wait come up.
+    pub fn empty(self) -> TcpListener {
+        drop(self.listener.accept().expect("the filler"));
+        self.listener
+    }
+}
+
 /// A backend's entry in discovery's list.
 pub fn entry(id: &str, address: SocketAddr, phase: &str, up_since_ms: u64) -> Value {
     json!({"id": id, "host_port": address.to_string(), "locality": "a", "flavor": "m", "cell": 0,
