Write no repeat of a key whose window ends while its connection comes up

Symptom: the module looks at a key's window when it decides on a repeat. The repeat is written when its connection is up, which may be a dial's time-out later, and then it may reach a backend that has forgotten the key: it runs twice.

Ruled out: the decision itself (`scope`, from the first attempt that may have run, counted from its decision, ahead of its first byte).

Line at fault: `try_once` looked at nothing behind the dial but the backend's state and the time to give up.

Change: `Send` carries the end of the window. What is not written whole by then ends as never sent, so the module fails the request at once; the simulator's wire has no such field and needs none, for there a send is instant.

Between the lines: the window's end while the body is being written: the count of written bytes decides, in the step that drops the connection. The end at the same instant as the answer: the request was written, so the answer stands.

--- a/src/api.rs
+++ b/src/api.rs
@@ -353,6 +353,8 @@
         backend: BackendId,
         /// When to give it up.
         give_up_at: Micros,
+        /// What is not written whole by then must not be sent: its key's window is over. (Real sockets only.)
+        write_by: Option<Micros>,
     },
     /// Final answer: turned away, and trying again is harmless.
     Refuse {
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -460,7 +460,7 @@
         match self.settings.classes[open.class].effect {
             Effect::Safe => Scope::Anywhere,
             Effect::Unsafe => Scope::Nowhere,
-            Effect::Keyed { ttl, .. } if now >= first.sent_at.saturating_add(ttl) => Scope::Nowhere,
+            Effect::Keyed { .. } if self.window_end(open) <= Some(now) => Scope::Nowhere,
             Effect::Keyed { group: DedupGroup::All, .. } => Scope::Anywhere,
             Effect::Keyed { group: DedupGroup::Zone, .. } => Scope::Zone(self.servers[first.server].zone),
             Effect::Keyed { group: DedupGroup::Cell, .. } => Scope::Cell(self.servers[first.server].cell),
@@ -637,6 +637,7 @@
         self.in_flight += 1;
         server.window.filled |= i64::from(server.in_flight) * 4 >= server.slots(self.pool.spread) * 3;
         let (give_up_at, early) = self.give_up_at(now, &self.open[slot]);
+        let write_by = self.window_end(&self.open[slot]);
         let open = &mut self.open[slot];
         let state = AttemptState::Out;
         open.attempts.push(Attempt {
@@ -651,7 +652,14 @@
         });
         self.servers[index].held += 1;
         let backend = self.servers[index].id;
-        out.push(Action::Send { request: open.id, backend, give_up_at });
+        out.push(Action::Send { request: open.id, backend, give_up_at, write_by });
+    }
+
+    /// Rule 2: when backends may forget the key of a request that may have run.
+    fn window_end(&self, open: &Open) -> Option<Micros> {
+        let Effect::Keyed { ttl, .. } = self.settings.classes[open.class].effect else { return None };
+        let first = open.attempts.iter().find(|a| a.state != AttemptState::NeverRan)?;
+        Some(first.sent_at.saturating_add(ttl))
     }
 
     /// When an attempt that starts now is given up, and whether that tells that it was lost. Departure:
--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -92,6 +92,15 @@
     pub content_type: Option<HeaderValue>,
 }
 
+/// When an attempt ends at the latest.
+#[derive(Clone, Copy, Debug)]
+pub struct Ends {
+    /// It is given up.
+    pub give_up: Instant,
+    /// What is not written whole by then is not sent any more.
+    pub write_by: Option<Instant>,
+}
+
 /// How an attempt or a probe ended.
 #[derive(Debug)]
 pub struct Ended {
@@ -422,17 +431,17 @@
         });
     }
 
-    /// One attempt of a request on a backend, given up at `give_up` or when `cancel` fires. An answer that flows
+    /// One attempt of a request on a backend, given up as `ends` says or when `cancel` fires. An answer that flows
     /// through is handed to `begins` when it begins; the attempt then ends with it.
     pub async fn attempt(
         self: Rc<Self>,
         server: Rc<Server>,
         call: Rc<Call>,
-        give_up: Instant,
+        ends: Ends,
         cancel: oneshot::Receiver<()>,
         begins: impl FnOnce(Served),
     ) -> Ended {
-        let mut ended = self.try_once(server, &call, give_up, cancel, begins).await;
+        let mut ended = self.try_once(server, &call, ends, cancel, begins).await;
         ended.spent = call.body.progress().is_some_and(|progress| progress.is_spent());
         ended
     }
@@ -441,16 +450,17 @@
         self: Rc<Self>,
         server: Rc<Server>,
         call: &Call,
-        give_up: Instant,
+        ends: Ends,
         mut cancel: oneshot::Receiver<()>,
         begins: impl FnOnce(Served),
     ) -> Ended {
+        let Ends { give_up, write_by } = ends;
         let conn = match self.take_idle(&server) {
             Some(conn) => Ok(conn),
             None => tokio::select! {
                 conn = self.dial(&server, give_up) => conn,
                 Ok(()) = &mut cancel => return Outcome::Moot.into(),
-                () = call.over.told() => return Outcome::Moot.into(),
+                () = unwanted(call, write_by) => return Outcome::Moot.into(),
             },
         };
         let mut conn = match conn {
@@ -480,7 +490,7 @@
             )
         };
         let not_wanted = async {
-            call.over.told().await;
+            unwanted(call, write_by).await;
             if is_written() {
                 std::future::pending::<()>().await;
             }
@@ -741,6 +751,14 @@
     }
 }
 
+/// Waits until what is not written of an attempt is not to be sent.
+async fn unwanted(call: &Call, write_by: Option<Instant>) {
+    tokio::select! {
+        () = call.over.told() => {}
+        () = sleep_until(write_by.unwrap_or_else(Instant::now)), if write_by.is_some() => {}
+    }
+}
+
 /// Waits until an attempt has to be given up. The time of a request counts from its last byte, so where that is
 /// still to come the time that is left begins with it.
 async fn given_up(call: &Call, give_up: Instant, left: Duration) {
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -1,7 +1,7 @@
 //! Owns the [`Balancer`]: feeds it events on one clock, carries out its actions, keeps its timers and the
 //! table of requests. All other tasks talk to it through a [`Handle`].
 
-use super::backends::{Call, Ended, Fleet, Served};
+use super::backends::{Call, Ended, Ends, Fleet, Served};
 use super::clock::Clock;
 use super::discovery::Listed;
 use super::log;
@@ -386,7 +386,9 @@
         let mut actions = std::mem::take(&mut self.actions);
         for action in actions.drain(..) {
             match action {
-                Action::Send { request, backend, give_up_at } => self.send(now, request, backend, give_up_at),
+                Action::Send { request, backend, give_up_at, write_by } => {
+                    self.send(now, request, backend, give_up_at, write_by);
+                }
                 Action::Refuse { request, retry_after } => {
                     self.answer(request, Answer::Refused { retry_after });
                 }
@@ -413,7 +415,14 @@
         }
     }
 
-    fn send(&mut self, now: Micros, request: RequestId, backend: BackendId, give_up_at: Micros) {
+    fn send(
+        &mut self,
+        now: Micros,
+        request: RequestId,
+        backend: BackendId,
+        give_up_at: Micros,
+        write_by: Option<Micros>,
+    ) {
         let Some(open) = self.open.get_mut(&request) else { return };
         let number = open.attempts.len() as u16;
         let (cancel, cancelled) = oneshot::channel();
@@ -425,10 +434,13 @@
             return;
         };
         let (fleet, call, handle) = (Rc::clone(&self.fleet), Rc::clone(&open.call), self.handle.clone());
-        let give_up = self.clock.instant(give_up_at);
+        let ends = Ends {
+            give_up: self.clock.instant(give_up_at),
+            write_by: write_by.map(|at| self.clock.instant(at)),
+        };
         tokio::task::spawn_local(async move {
             let begins = |served| handle.tell(Message::Begins(request, number, served));
-            let ended = fleet.attempt(server, call, give_up, cancelled, begins).await;
+            let ended = fleet.attempt(server, call, ends, cancelled, begins).await;
             handle.tell(Message::Ended(request, number, ended));
         });
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -327,7 +327,7 @@
         let micros = |t: Micros| u32::try_from(t).unwrap_or(u32::MAX).to_be_bytes();
         self.source(instance);
         match action {
-            Action::Send { request, backend, give_up_at } => {
+            Action::Send { request, backend, give_up_at, .. } => {
                 self.record(64, &[&request.to_be_bytes(), &give_up_at.to_be_bytes(), &backend.to_be_bytes()]);
             }
             Action::Refuse { request, retry_after } => {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -140,7 +140,9 @@
 
     fn carry_out(&mut self, action: &Action) {
         match *action {
-            Action::Send { request, backend, give_up_at } => self.check_send(request, backend, give_up_at),
+            Action::Send { request, backend, give_up_at, .. } => {
+                self.check_send(request, backend, give_up_at)
+            }
             Action::Refuse { request, .. } => self.check_end(request, true),
             Action::Fail { request } => self.check_end(request, false),
             Action::Cancel { request, attempt } => {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -105,7 +105,8 @@
 #[test]
 fn actions_are_written_as_the_wire_says() {
     let mut reply = ReplyWriter::default();
-    let send = Action::Send { request: 0x5d3a_91c4, backend: 0x0312_4a07, give_up_at: 0x8194da };
+    let send =
+        Action::Send { request: 0x5d3a_91c4, backend: 0x0312_4a07, give_up_at: 0x8194da, write_by: None };
     reply.action(3, &send);
     reply.action(3, &Action::SetTimer { after: 500_000, token: 77 });
     reply.action(5, &Action::Log("two servers known".into()));
