Notice clients that leave with bytes unread behind their request

Symptom: a request whose client has left may not be sent on 0.3 s later. One with bytes behind it was: held, it was sent when room came, up to a tenth of its time later; nothing ever told that its client had gone.

Evidence: nine clients leave in a burst (close, half-close, reset; nothing, a request, 20 kB behind). Those with nothing behind are forgotten at once, the others stay in progress until their hold ends. The same for a body whose end is unread because no memory was left to hold it: 1.74 MB at a limit of 8 MB, while the request waits for room.

Ruled out: the guard, the driver and the module: they act once the connection's future is dropped, as the cases with nothing behind show.

Lines at fault: `ask` left it to the HTTP library to see the end of the connection. It reads ahead only while its buffer is empty, so with a byte behind the request it sees neither a FIN nor a reset.

Change: `ask` waits for the answer and for the runtime's mark that the peer has closed, which needs no reading (`Socket::ended`). The same mark is looked at before a request is handed on, for a connection that waited to be accepted. The socket is shared with the HTTP side as backends' are, in one type. A connection is closed as idle, or to make room, only if the kernel holds no unread bytes of it: they may be a request. Bytes that nobody reads keep it open for 50 ms, not for good.

Not seen: a FIN behind more bytes than the kernel takes has not come; as far as this machine can know that client is there.

Between the lines: the client leaves between `is_left` and the wait: the mark is kept, the wait ends at once. The answer comes in the same turn: it is taken first, and written to nobody. Bytes come between the last look at the kernel and the close: left open, the protocol has the client send that request again.

--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -5,6 +5,7 @@
 
 use super::bodies::{AnswerBody, CallBody, Gathered, Giver, Held, Passing, ToBackend, next_data};
 use super::counters::Counters;
+use super::socket::{Socket, Unread};
 use super::{ANSWER_STALL, BODY_CAP, PASS_CAP, connect};
 use crate::api::{BackendId, Micros, Outcome, Readiness};
 use hyper::body::{Body, Incoming};
@@ -18,14 +19,12 @@
 use std::cell::{Cell, RefCell};
 use std::error::Error;
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
@@ -120,9 +119,9 @@
     }
 }
 
-/// A connection's socket, with a count of the bytes that it took.
+/// What a connection's socket took.
 struct Wire {
-    stream: TcpStream,
+    socket: Socket,
     written: Cell<u64>,
     /// The count at which the present attempt is written whole, until it is.
     whole_at: Cell<Option<u64>>,
@@ -130,14 +129,6 @@
 }
 
 impl Wire {
-    /// Whether nothing has come in since the last answer: neither the backend's goodbye nor stray bytes. The
-    /// runtime may not have seen yet what the kernel knows already, so the socket itself is asked.
-    fn is_quiet(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
-        peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
-    }
-
     fn wrote(&self, bytes: u64) {
         self.written.set(self.written.get() + bytes);
         if self.whole_at.get().is_some_and(|whole| self.written.get() >= whole) {
@@ -152,43 +143,22 @@
 
 impl AsyncRead for WireIo {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.0.stream.poll_read_ready(cx))?;
-            match self.0.stream.try_read(buf.initialize_unfilled()) {
-                Ok(read) => {
-                    buf.advance(read);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
+        self.0.socket.poll_read(cx, buf)
     }
 }
 
 impl WireIo {
-    fn poll_with(
-        &self,
-        cx: &mut Context<'_>,
-        write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.stream.poll_write_ready(cx))?;
-            match write(&self.0.stream) {
-                Ok(written) => {
-                    self.0.wrote(written as u64);
-                    return Poll::Ready(Ok(written));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
+    fn wrote(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(written)) = written {
+            self.0.wrote(written as u64);
         }
+        written
     }
 }
 
 impl AsyncWrite for WireIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.poll_with(cx, |stream| stream.try_write(buf))
+        self.wrote(self.0.socket.poll_write(cx, |stream| stream.try_write(buf)))
     }
 
     fn poll_write_vectored(
@@ -196,7 +166,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.poll_with(cx, |stream| stream.try_write_vectored(bufs))
+        self.wrote(self.0.socket.poll_write(cx, |stream| stream.try_write_vectored(bufs)))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -208,7 +178,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(socket2::SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(self.0.socket.end_sending())
     }
 }
 
@@ -376,11 +346,15 @@
         !idle.conn.sender.is_closed() && idle.since.elapsed() < self.idle_limit
     }
 
-    /// The connection that was used last: the others may then grow old and be closed.
+    /// The connection that was used last, if nothing has come in on it since: neither the backend's goodbye nor stray
+    /// bytes. The others may then grow old and be closed.
     fn take_idle(&self, server: &Server) -> Option<Conn> {
         let mut all = server.idle.borrow_mut();
         while let Some(idle) = all.pop() {
-            if self.is_usable(&idle) && idle.conn.sender.is_ready() && idle.conn.wire.is_quiet() {
+            if self.is_usable(&idle)
+                && idle.conn.sender.is_ready()
+                && idle.conn.wire.socket.unread() == Unread::Nothing
+            {
                 return Some(idle.conn);
             }
         }
@@ -409,7 +383,7 @@
         let connecting = timeout_at(until, connect(server.address.get())).await;
         let stream = connecting.map_err(|_| NoConn::Backends)??;
         let (written, whole_at, counters) = (Cell::new(0), Cell::new(None), Rc::clone(&self.counters));
-        let wire = Rc::new(Wire { stream, written, whole_at, counters });
+        let wire = Rc::new(Wire { socket: Socket::new(stream), written, whole_at, counters });
         let io = TokioIo::new(WireIo(Rc::clone(&wire)));
         let handshake = http1::Builder::new().max_buf_size(HEAD_CAP).handshake(io).await;
         let (sender, connection) = handshake.map_err(|_| NoConn::Backends)?;
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -9,6 +9,7 @@
 use super::driver::{Answer, Handle, Inbound, Message};
 use super::lifecycle::{GRACE, Lifecycle};
 use super::lines::{Line, LineIo, Lines};
+use super::socket::Socket;
 use super::{BODY_CAP, PASS_CAP, log};
 use crate::api::{Effect, Micros, RequestId, Settings};
 use bytes::Bytes;
@@ -26,7 +27,6 @@
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
@@ -115,6 +115,8 @@
     }
 }
 
+/// Nobody reads it.
+const LEFT: Rejected = Rejected::new(StatusCode::BAD_REQUEST, "the client has left\n");
 const TOO_LARGE: Rejected = Rejected::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
 
 impl Clients {
@@ -204,16 +206,16 @@
 
     async fn connection(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let line = Rc::new(Line::new(HEAD_CAP));
+        let line = Rc::new(Line::new(stream, HEAD_CAP));
         let place = self.lines.borrow_mut().add(&line);
-        self.serve(stream, &line).await;
+        self.serve(&line).await;
         self.lines.borrow_mut().remove(place);
         self.open.set(self.open.get() - 1);
         self.freed.notify_waiters();
     }
 
     /// Serves one connection to its end.
-    async fn serve(self: &Rc<Self>, stream: TcpStream, line: &Rc<Line>) {
+    async fn serve(self: &Rc<Self>, line: &Rc<Line>) {
         let (clients, asked) = (Rc::clone(self), Rc::clone(line));
         let service = service_fn(move |request| -> Pin<Box<dyn Future<Output = _>>> {
             let (clients, line) = (Rc::clone(&clients), Rc::clone(&asked));
@@ -234,10 +236,11 @@
             .timer(TokioTimer::new())
             .header_read_timeout(None)
             .max_buf_size(HEAD_CAP)
-            .serve_connection(TokioIo::new(LineIo::new(stream, Rc::clone(line))), service);
+            .serve_connection(TokioIo::new(LineIo(Rc::clone(line))), service);
         let mut stages = self.lifecycle.follow();
         let mut leaves_at = self.lifecycle.is_leaving().then(|| Instant::now() + GRACE);
         let mut look = pin!(sleep_until(line.late().unwrap_or_else(Instant::now)));
+        let mut looked_again = false;
         let ended = loop {
             tokio::select! {
                 biased;
@@ -257,10 +260,14 @@
                 }
                 () = look.as_mut() => {
                     let late = line.late();
-                    if late.is_some_and(|late| late <= Instant::now()) {
+                    let is_late = late.is_some_and(|late| late <= Instant::now());
+                    // What has come and was not read yet may be a request: it is read within that time, or never.
+                    if is_late && (looked_again || !line.has_unread()) {
                         return;
                     }
-                    look.as_mut().reset(late.unwrap_or_else(|| Instant::now() + REQUEST_TIME / 4));
+                    looked_again = is_late;
+                    let soon = Instant::now() + if is_late { LOOK_AGAIN } else { REQUEST_TIME / 4 };
+                    look.as_mut().reset(late.filter(|_| !is_late).unwrap_or(soon));
                 }
                 () = line.told_to_go() => {
                     if line.is_cheap() {
@@ -270,12 +277,13 @@
                 }
             }
         };
-        let stream = conn.into_parts().io.into_inner().into_stream();
+        // What the library holds of it, an unanswered request too, ends here.
+        drop(conn);
         if ended.is_err_and(|error| error.is_user()) {
             // An answer broke off: one whose length the client does not know would look whole at a plain end.
-            let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            line.socket().break_off();
         } else {
-            linger(stream).await;
+            linger(line.socket()).await;
         }
     }
 
@@ -294,7 +302,7 @@
                 self.inbound(request, pace).await
             };
             let answered = match inbound {
-                Ok(inbound) => self.ask(inbound).await,
+                Ok(inbound) => self.ask(inbound, line).await,
                 Err(rejected) => Err(rejected),
             };
             answered.unwrap_or_else(|rejected| {
@@ -318,7 +326,11 @@
         }
     }
 
-    async fn ask(&self, inbound: Inbound) -> Result<Response<ToClient>, Rejected> {
+    async fn ask(&self, inbound: Inbound, line: &Line) -> Result<Response<ToClient>, Rejected> {
+        // It may have left before its connection was accepted, say.
+        if line.is_left() {
+            return Err(LEFT);
+        }
         // Rule 2: passed on, a second request of the same id would be a second copy of the first.
         let Some(_id) = OpenId::claim(&self.ids, &inbound.call.headers) else {
             return Err(Rejected::new(StatusCode::CONFLICT, "a request of this id is open\n"));
@@ -328,7 +340,12 @@
         let ticket = self.counters.take(inbound.request.class);
         let guard = Guard { handle: &self.handle, request: inbound.request.id, answered: false };
         self.handle.tell(Message::Request(Box::new(inbound), sender));
-        let answer = answer.await;
+        // The library sees that a client has left only where it has read all that came ahead of it.
+        let answer = tokio::select! {
+            biased;
+            answer = answer => answer,
+            () = line.socket().ended() => return Err(LEFT),
+        };
         guard.answered();
         let (response, end) = match answer {
             Ok(Answer::Served(served)) => {
@@ -544,13 +561,13 @@
 }
 
 /// Ends the sending side and reads what still comes, until nothing does for a while.
-pub(super) async fn linger(mut stream: TcpStream) {
-    if stream.shutdown().await.is_err() {
+pub(super) async fn linger(socket: &Socket) {
+    if socket.end_sending().is_err() {
         return;
     }
     let _ = timeout(LINGER_MOST, async {
         let mut buffer = vec![0; LINGER_BUFFER];
-        while let Ok(Ok(1..)) = timeout(LINGER, stream.read(&mut buffer)).await {}
+        while let Ok(Some(_)) = timeout(LINGER, socket.read(&mut buffer)).await {}
     })
     .await;
 }
--- a/src/proxy/lines.rs
+++ b/src/proxy/lines.rs
@@ -4,12 +4,13 @@
 use super::ANSWER_STALL;
 use super::clients::REQUEST_TIME;
 use super::framing::Framing;
+use super::socket::{Socket, Unread};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -37,6 +38,7 @@
 
 /// One connection.
 pub struct Line {
+    socket: Socket,
     framing: RefCell<Framing>,
     connected: Instant,
     /// When bytes last went either way.
@@ -54,9 +56,10 @@
 impl Line {
     /// One that was accepted now, whose heads may have so many bytes.
     #[must_use]
-    pub fn new(head_cap: usize) -> Self {
+    pub fn new(stream: TcpStream, head_cap: usize) -> Self {
         let now = Instant::now();
         Self {
+            socket: Socket::new(stream),
             framing: RefCell::new(Framing::new(head_cap)),
             connected: now,
             moved: Cell::new(now),
@@ -69,6 +72,18 @@
         }
     }
 
+    /// Its socket.
+    #[must_use]
+    pub fn socket(&self) -> &Socket {
+        &self.socket
+    }
+
+    /// Whether its client has ended it, as far as the runtime knows, whatever is still unread.
+    #[must_use]
+    pub fn is_left(&self) -> bool {
+        pin!(self.socket.ended()).poll(&mut Context::from_waker(Waker::noop())).is_ready()
+    }
+
     /// When it was accepted.
     #[must_use]
     pub fn connected(&self) -> Instant {
@@ -93,16 +108,22 @@
         self.framing.borrow().is_ambiguous(number)
     }
 
-    /// Whether no request is on it, nor a part of one.
+    /// Whether no request is on it, nor a part of one, not even in the kernel.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        !self.has_request() && !self.stuck.get() && self.framing.borrow().is_between()
+        !self.has_request() && !self.stuck.get() && self.framing.borrow().is_between() && !self.has_unread()
     }
 
-    /// Whether no whole request is on it.
+    /// Whether no whole request is on it, as far as the kernel knows.
     #[must_use]
     pub fn is_cheap(&self) -> bool {
-        self.cost().is_some()
+        self.cost().is_some() && !self.has_unread()
+    }
+
+    /// Whether bytes wait that were not read yet.
+    #[must_use]
+    pub fn has_unread(&self) -> bool {
+        self.socket.unread() == Unread::Bytes
     }
 
     /// When its client has taken too long, where it is the client's turn.
@@ -184,94 +205,85 @@
     /// longest; one with a request is none of them.
     pub fn make_room(&self) {
         let staying = self.open.values().filter(|line| !line.going.get());
-        let cheapest = staying.filter_map(|line| Some(((line.cost()?, line.moved.get()), line)));
-        if let Some((_, line)) = cheapest.min_by_key(|(cost, _)| *cost) {
+        let mut cheapest: Vec<_> =
+            staying.filter_map(|line| Some(((line.cost()?, line.moved.get()), line))).collect();
+        cheapest.sort_unstable_by_key(|(cost, _)| *cost);
+        // The kernel is asked of few of them.
+        if let Some((_, line)) = cheapest.into_iter().find(|(_, line)| !line.has_unread()) {
             line.going.set(true);
             line.go.notify_one();
         }
     }
 }
 
-/// A connection's socket, watched.
-pub struct LineIo {
-    stream: TcpStream,
-    line: Rc<Line>,
-}
+/// The half of a [`Line`] that the HTTP side drives.
+pub struct LineIo(pub Rc<Line>);
 
 impl LineIo {
-    /// Watches this socket.
-    #[must_use]
-    pub fn new(stream: TcpStream, line: Rc<Line>) -> Self {
-        Self { stream, line }
-    }
-
-    /// The socket alone.
-    #[must_use]
-    pub fn into_stream(self) -> TcpStream {
-        self.stream
-    }
-
     fn wrote(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        self.line.stuck.set(written.is_pending());
+        self.0.stuck.set(written.is_pending());
         if written.is_ready() {
-            self.line.moved.set(Instant::now());
+            self.0.moved.set(Instant::now());
         }
         written
     }
 }
 
 impl AsyncRead for LineIo {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let old = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        ready!(self.0.socket.poll_read(cx, buf))?;
         if buf.filled().len() > old {
-            self.line.read(&buf.filled()[old..]);
+            self.0.read(&buf.filled()[old..]);
         }
         Poll::Ready(Ok(()))
     }
 }
 
 impl AsyncWrite for LineIo {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.wrote(written)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.wrote(self.0.socket.poll_write(cx, |stream| stream.try_write(buf)))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.wrote(written)
+        self.wrote(self.0.socket.poll_write(cx, |stream| stream.try_write_vectored(bufs)))
     }
 
     fn is_write_vectored(&self) -> bool {
         true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.0.socket.end_sending())
     }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use tokio::io::AsyncWriteExt;
 
     const HEAD: &[u8] = b"GET /up HTTP/1.1\r\n\r\n";
 
-    fn lines<const N: usize>() -> (Lines, [Rc<Line>; N]) {
+    /// Connections whose clients send nothing by themselves.
+    async fn lines<const N: usize>() -> (Lines, [Rc<Line>; N]) {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
         let mut lines = Lines::default();
-        let all = std::array::from_fn(|_| Rc::new(Line::new(1_000)));
+        let mut all = Vec::new();
+        for _ in 0..N {
+            let stream = TcpStream::connect(address).await.expect("a connection");
+            all.push(Rc::new(Line::new(stream, 1_000)));
+        }
+        let all: [_; N] = all.try_into().unwrap_or_else(|_| unreachable!("as many as asked for"));
         all.iter().for_each(|line| {
             lines.add(line);
         });
@@ -284,7 +296,7 @@
 
     #[tokio::test(start_paused = true)]
     async fn the_cheapest_to_lose_goes_first_and_one_with_a_request_never() {
-        let (lines, all) = lines::<9>();
+        let (lines, all) = lines::<9>().await;
         let step = || tokio::time::advance(Duration::from_millis(10));
         let [asking, begun, begun_later, kept, silent, _pipelined, stuck, fresh, coming] = &all;
         stuck.stuck.set(true);
@@ -313,9 +325,32 @@
         assert_eq!(going(&all), [1, 2, 3, 4, 7, 8], "those that may go on come last");
     }
 
+    #[tokio::test]
+    async fn a_connection_with_bytes_in_the_kernel_is_neither_idle_nor_cheap() {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let stream =
+            TcpStream::connect(listener.local_addr().expect("an address")).await.expect("a connection");
+        let (mut client, _) = listener.accept().await.expect("a connection");
+        let line = Rc::new(Line::new(stream, 1_000));
+        let mut lines = Lines::default();
+        lines.add(&line);
+        assert!(line.is_idle() && line.is_cheap());
+        client.write_all(HEAD).await.expect("it is open");
+        assert!(!line.is_idle() && !line.is_cheap());
+        lines.make_room();
+        assert!(!line.going.get(), "the request would be lost");
+        let mut request = [0; HEAD.len()];
+        assert_eq!(line.socket().read(&mut request).await, Some(HEAD.len()));
+        drop(client);
+        line.socket().ended().await;
+        assert!(line.is_idle() && line.is_left());
+        lines.make_room();
+        assert!(line.going.get());
+    }
+
     #[tokio::test(start_paused = true)]
     async fn a_client_has_its_time_for_a_head_and_for_staying_idle() {
-        let (_, [line]) = lines::<1>();
+        let (_, [line]) = lines::<1>().await;
         let start = Instant::now();
         assert_eq!(line.late(), Some(start + REQUEST_TIME), "it says nothing");
         tokio::time::advance(Duration::from_secs(1)).await;
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -15,6 +15,7 @@
 pub mod lifecycle;
 pub mod lines;
 pub mod operator;
+pub mod socket;
 
 use std::cell::Cell;
 use std::io;
--- a/src/proxy/operator.rs
+++ b/src/proxy/operator.rs
@@ -7,6 +7,7 @@
 use super::driver::{Handle, Message};
 use super::lifecycle::{IsStopping, Lifecycle};
 use super::log;
+use super::socket::Socket;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
@@ -102,7 +103,7 @@
             .max_buf_size(HEAD_CAP)
             .serve_connection(TokioIo::new(stream), service);
         let _ = std::future::poll_fn(|cx| conn.poll_without_shutdown(cx)).await;
-        linger(conn.into_parts().io.into_inner()).await;
+        linger(&Socket::new(conn.into_parts().io.into_inner())).await;
     }
 
     async fn answer(&self, request: Request<Incoming>, late: Instant) -> Result<Answer, Rejected> {
--- a/tests/proxy/moments.rs
+++ b/tests/proxy/moments.rs
@@ -1,9 +1,7 @@
 //! Ill-timed moments: what comes between a decision and what follows from it.
 
-use crate::UP;
-use crate::rig::{
-    Backend, Discovery, FullQueue, PATIENCE, Proxy, Reply, answer, config, entry, read_message, request,
-};
+use crate::rig::*;
+use crate::{ROOM, UP, fill, full_backend};
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::mpsc::channel;
@@ -68,3 +66,101 @@
     assert_eq!(ids_that_come(late.empty()), [""; 0]);
     assert_eq!(client.receive().status(), 502, "it may have run, and is not repeated");
 }
+
+#[derive(Clone, Copy, Debug)]
+enum Way {
+    Close,
+    HalfClose,
+    Reset,
+}
+
+const WAYS: [Way; 3] = [Way::Close, Way::HalfClose, Way::Reset];
+
+/// Leaves in that way; what is still held after a half-close is returned.
+fn leave(client: Client, way: Way) -> Option<Client> {
+    match way {
+        Way::Close => None,
+        Way::HalfClose => {
+            client.stream.shutdown(Shutdown::Write).expect("an open connection");
+            Some(client)
+        }
+        Way::Reset => {
+            let socket = socket2::SockRef::from(&client.stream);
+            socket.set_linger(Some(Duration::ZERO)).expect("an open connection");
+            None
+        }
+    }
+}
+
+/// A proxy whose held requests wait for many seconds.
+fn patient(name: &str, discovery: &Discovery, backend: &Backend, memory_mb: u64) -> Proxy {
+    let mut config = operated(name, discovery);
+    config["settings"]["classes"][2]["deadlineUs"] = 200_000_000.into();
+    config["settings"]["classes"][2]["aimUs"] = 100_000_000.into();
+    config["limits"]["memory_mb"] = memory_mb.into();
+    let proxy = Proxy::start_with(name, config);
+    discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+    proxy
+}
+
+/// Waits until so many requests are in progress, for less time than any is held.
+fn in_progress(proxy: &Proxy, requests: usize) {
+    let began = std::time::Instant::now();
+    while proxy.figure("app_in_progress") != requests as u64 {
+        assert!(began.elapsed() < Duration::from_secs(5), "not {requests} in progress");
+    }
+}
+
+/// Lets the backend answer, and asks for more: whatever else it sees was sent on for nobody.
+fn only_new_ones_come(
+    proxy: &Proxy,
+    backend: &Backend,
+    clients: Vec<Client>,
+    releases: &[std::sync::mpsc::Sender<()>],
+) {
+    for (release, mut client) in releases.iter().zip(clients.into_iter().rev()) {
+        release.send(()).expect("the backend waits");
+        assert_eq!(client.receive().status(), 200);
+    }
+    assert_eq!(proxy.client().ask(&request("charge", "stays", "x")).status(), 200);
+    assert_eq!(backend.next().header("x-correlation-id"), Some("stays"));
+}
+
+#[test]
+fn held_requests_whose_clients_leave_in_a_burst_are_not_sent_whatever_came_behind_them() {
+    let discovery = Discovery::start();
+    let (backend, releases) = full_backend();
+    let proxy = patient("burst", &discovery, &backend, 192);
+    let clients = fill(&proxy, &backend);
+    let behind = [String::new(), request("charge", "behind", "x"), "x".repeat(20_000)];
+    let mut leavers = Vec::new();
+    for (i, (way, behind)) in WAYS.iter().flat_map(|way| behind.iter().map(move |b| (*way, b))).enumerate() {
+        let mut client = proxy.client();
+        client.send(&(request("charge", &format!("left-{i}"), "x").replace("15000", "190000") + behind));
+        leavers.push((client, way));
+    }
+    in_progress(&proxy, ROOM + leavers.len());
+    let left: Vec<_> = leavers.into_iter().filter_map(|(client, way)| leave(client, way)).collect();
+    in_progress(&proxy, ROOM);
+    only_new_ones_come(&proxy, &backend, clients, &releases);
+    drop(left);
+}
+
+/// The end of its body is in the kernel still, for nobody reads it before the request has room.
+#[test]
+fn a_held_request_whose_client_leaves_behind_its_unread_body_is_not_sent() {
+    for way in WAYS {
+        let discovery = Discovery::start();
+        let (backend, releases) = full_backend();
+        let proxy = patient(&format!("unread-{way:?}"), &discovery, &backend, 8);
+        let clients = fill(&proxy, &backend);
+        let mut client = proxy.client();
+        let body = "x".repeat(1_740_000);
+        client.send(&request("charge", "left", &body).replace("15000", "190000"));
+        in_progress(&proxy, ROOM + 1);
+        let left = leave(client, way);
+        in_progress(&proxy, ROOM);
+        only_new_ones_come(&proxy, &backend, clients, &releases);
+        drop(left);
+    }
+}
