--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -24,7 +24,7 @@
     /// The file can't be read.
     Unreadable(PathBuf, io::Error),
     /// The file is not the JSON that is wanted.
-    Malformed(serde_json::Error),
+    Malformed(serde_path_to_error::Error<serde_json::Error>),
     /// An address is missing or is none.
     Address(&'static str, String),
     /// A setting makes no sense.
@@ -170,14 +170,15 @@
         variable: impl Fn(&str) -> Option<String>,
         shared: bool,
     ) -> Result<Self, ConfigError> {
-        let raw: RawConfig = serde_json::from_slice(text).map_err(ConfigError::Malformed)?;
+        let raw: RawConfig = read(&mut serde_json::Deserializer::from_slice(text))?;
         let address = |field: &'static str, given: Option<String>, name: &str| {
             let given = given.or_else(|| variable(name)).unwrap_or_default();
             given.parse().map_err(|_| ConfigError::Address(field, given))
         };
-        let settings = serde_json::to_vec(&raw.settings).map_err(ConfigError::Malformed)?;
-        let more: RawNames = serde_json::from_value(raw.settings).map_err(ConfigError::Malformed)?;
-        let named = |list: Vec<Named>| list.into_iter().map(|n| n.name).collect();
+        let settings = raw.settings.to_string();
+        let more: RawNames = read(&mut serde_json::Deserializer::from_str(&settings))?;
+        let classes = named("classes", more.classes)?;
+        let tenants = named("tenants", more.tenants)?;
         let operator = raw.operator.or_else(|| variable("EDGE_OPERATOR")).filter(|given| !given.is_empty());
         let reserved = RESERVED_SOCKETS + operator.as_ref().map_or(0, |_| 1 + operator::MOST_CALLS);
         let sockets = raw.limits.sockets.unwrap_or(DEFAULT_SOCKETS);
@@ -189,10 +190,10 @@
             discovery: address("discovery", raw.discovery, "EDGE_DISCOVERY")?,
             seed: seed(&raw.seed),
             known: raw.known,
-            settings: parse_settings(&settings).map_err(ConfigError::Settings)?,
+            settings: parse_settings(settings.as_bytes()).map_err(ConfigError::Settings)?,
             names: Names {
-                classes: named(more.classes),
-                tenants: named(more.tenants),
+                classes,
+                tenants,
                 zones: more.failure_domains,
                 kinds: more.kinds,
                 report: more.load_report.fields,
@@ -203,6 +204,27 @@
     }
 }
 
+fn read<'a, T: Deserialize<'a>, R: serde_json::de::Read<'a>>(
+    json: &mut serde_json::Deserializer<R>,
+) -> Result<T, ConfigError> {
+    serde_path_to_error::deserialize(json).map_err(ConfigError::Malformed)
+}
+
+/// The names of a list of the settings: requests are told apart by them.
+fn named(list: &str, entries: Vec<Named>) -> Result<Vec<String>, ConfigError> {
+    let names: Vec<String> = entries.into_iter().map(|entry| entry.name).collect();
+    for (i, name) in names.iter().enumerate() {
+        let problem = match name.as_str() {
+            "" => "must not be empty",
+            _ if names[..i].contains(name) => "stands there twice",
+            _ => continue,
+        };
+        let field = format!("{list}[{i}].name");
+        return Err(ConfigError::Settings(SettingsError { field, problem: problem.into() }));
+    }
+    Ok(names)
+}
+
 /// The seed comes as hexadecimal text; a number is taken as well.
 fn seed(value: &Value) -> u64 {
     let text = value.as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -498,8 +498,8 @@
 /// # Errors
 /// Names the key that is missing or makes no sense.
 pub fn parse_settings(json: &[u8]) -> Result<Settings, SettingsError> {
-    let raw: RawSettings = serde_json::from_slice(json)
-        .map_err(|e| SettingsError { field: "start-up settings".into(), problem: e.to_string() })?;
+    let raw: RawSettings = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(json))
+        .map_err(|e| SettingsError { field: e.path().to_string(), problem: e.into_inner().to_string() })?;
     let position = |name: &str| raw.load_report.fields.iter().position(|f| f == name);
     let classes = raw.classes.iter().enumerate().map(|(i, c)| class(i, c)).collect::<Result<_, _>>()?;
     let settings = Settings {
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,110 @@
+//! Settings of other customers: all that tells one deployment from another is taken from the configuration.
+
+use haventrack::api::{DedupGroup, Effect};
+use haventrack::proxy::config::Config;
+use serde_json::{Value, json};
+
+fn config(settings: &Value) -> Value {
+    json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
+           "limits": {"cores": 0.2, "memory_mb": 48, "sockets": 512}, "settings": settings})
+}
+
+fn parse(config: &Value) -> Result<Config, String> {
+    Config::parse(config.to_string().as_bytes(), |_| None, false).map_err(|e| e.to_string())
+}
+
+fn class(name: &str, effect: &str, group: &str, times_ms: [u64; 3]) -> Value {
+    let [aim, deadline, ttl] = times_ms.map(|ms| ms * 1_000);
+    json!({"name": name, "aimUs": aim, "deadlineUs": deadline, "worth": 2.0, "lateWorth": 0.2, "streamed": false,
+           "effect": effect, "group": group, "keyTtlUs": ttl})
+}
+
+/// Lists are pushed, nobody has a share, repeats are dropped in parts of the fleet only, nothing may be cancelled.
+fn ferries() -> Value {
+    json!({"me": 3, "balancers": 6, "zone": 1, "failureDomains": ["bryggen", "laksevag"],
+        "kinds": ["fast", "standard", "small"], "membershipMode": "pushed", "tenants": [],
+        "loadReport": {"via": "answers", "fields": ["avg_ms", "waiting"]},
+        "classes": [class("sailings", "retryable", "all", [150, 450, 0]),
+                    class("seat-hold", "dedup", "zone", [300, 900, 700]),
+                    class("boarding-scan", "dedup", "cell", [250, 700, 400])],
+        "permissions": {"maxAttempts": 2, "cancel": false, "connIdleUs": 60_000_000, "dialTimeoutUs": 100_000},
+        "safety": {"askWithinUs": 0, "drainGraceUs": 250_000, "coldFrom": 0.13, "coldUs": 20_000_000,
+                   "fallMultiple": 2.5, "fallUs": 3_000_000}})
+}
+
+/// Discovery is asked, nothing may run twice, deadlines are short.
+fn ticketing() -> Value {
+    let mut settings = ferries();
+    settings["membershipMode"] = "on_request".into();
+    settings["failureDomains"] = json!(["namba"]);
+    settings["zone"] = 0.into();
+    settings["classes"] = json!([
+        class("pay", "fragile", "all", [220, 400, 0]),
+        class("issue", "fragile", "all", [180, 350, 0]),
+        class("void", "fragile", "all", [140, 300, 0])
+    ]);
+    settings["tenants"] = json!([{"name": "umeda-hall", "share": 0.7, "allowancePerS": 90.0},
+                                 {"name": "street-kiosks", "share": 0.3, "allowancePerS": 40.0}]);
+    settings["permissions"] = json!({"maxAttempts": 5, "retryAfter": true, "maxRetryAfterUs": 900_000});
+    settings["loadReport"] = json!({"via": "probe", "fields": ["active"]});
+    settings
+}
+
+#[test]
+fn settings_of_unlike_customers_are_taken_as_they_are() {
+    let ferries = parse(&config(&ferries())).expect("good settings");
+    let effects: Vec<_> = ferries.settings.classes.iter().map(|c| c.effect).collect();
+    assert_eq!(
+        effects,
+        [
+            Effect::Safe,
+            Effect::Keyed { group: DedupGroup::Zone, ttl: 700_000 },
+            Effect::Keyed { group: DedupGroup::Cell, ttl: 400_000 },
+        ]
+    );
+    assert_eq!(ferries.names.classes, ["sailings", "seat-hold", "boarding-scan"]);
+    assert!(ferries.names.tenants.is_empty() && !ferries.settings.discovery_on_request);
+    assert_eq!((ferries.settings.permissions.max_attempts, ferries.dial_timeout), (2, 100_000));
+    assert_eq!((ferries.settings.report.avg_ms, ferries.settings.report.active), (Some(0), None));
+    assert_eq!(ferries.settings.permissions.retry_after, None);
+
+    let ticketing = parse(&config(&ticketing())).expect("good settings");
+    assert!(ticketing.settings.classes.iter().all(|c| c.effect == Effect::Unsafe));
+    assert_eq!(ticketing.settings.classes.iter().map(|c| c.deadline).max(), Some(400_000));
+    assert_eq!(ticketing.names.tenants, ["umeda-hall", "street-kiosks"]);
+    assert!(ticketing.settings.discovery_on_request && ticketing.settings.report_by_probe);
+    assert_eq!(ticketing.settings.permissions.retry_after, Some(900_000));
+    assert_eq!(ticketing.settings.zones, 1);
+}
+
+#[test]
+fn settings_that_make_no_sense_are_told_by_the_name_of_their_field() {
+    let wrong: [(&str, Value, &str); 14] = [
+        ("/settings/classes/1/deadlineUs", "soon".into(), "classes[1].deadlineUs"),
+        ("/settings/classes/1/deadlineUs", (-1).into(), "classes[1].deadlineUs"),
+        ("/settings/classes/2/aimUs", 0.into(), "classes[2].aim"),
+        ("/settings/classes/0/effect", "harmless".into(), "classes[0].effect"),
+        ("/settings/classes/1/group", "street".into(), "classes[1].group"),
+        ("/settings/classes/0/worth", Value::Null, "classes[0].worth"),
+        ("/settings/classes/1/name", "sailings".into(), "classes[1].name"),
+        ("/settings/classes/1/name", "".into(), "classes[1].name"),
+        ("/settings/classes", json!([]), "classes"),
+        ("/settings/permissions/maxAttempts", 0.into(), "max_attempts"),
+        ("/settings/membershipMode", "gossip".into(), "membershipMode"),
+        ("/settings/safety/coldFrom", 1.5.into(), "cold_from"),
+        ("/settings/balancers", 0.into(), "balancers"),
+        ("/limits/sockets", "many".into(), "limits.sockets"),
+    ];
+    for (pointer, value, field) in wrong {
+        let mut config = config(&ferries());
+        *config.pointer_mut(pointer).expect("it is there") = value;
+        let error = parse(&config).expect_err(pointer);
+        assert!(error.contains(field) && error.lines().count() == 1, "{pointer}: {error}");
+    }
+    for field in ["me", "balancers", "classes", "permissions", "safety", "membershipMode"] {
+        let mut config = config(&ferries());
+        config["settings"].as_object_mut().expect("an object").remove(field);
+        let error = parse(&config).expect_err(field);
+        assert!(error.contains(field), "{error}");
+    }
+}
