Answer what comes behind SIGTERM before the platform may kill the process

Symptom: the platform kills 0.7 s after the longest deadline, of which it counts 3 s at the most, and what came later than 0.7 s behind SIGTERM and is unanswered then is lost.

Ruled out, and tested: SIGTERM before a list is held (ends with code 0), a second SIGTERM and SIGHUP meanwhile (the handlers stand, the first counts), a connection with a request in the kernel's queue while every place is taken. For the last a guess was that the process ends when the last place falls free: the accept loop runs in the same turn, ahead of the drain; the test passes without a change, so none was made.

Lines at fault: `drain`, one time for both the last answers and the end; `inbound`, which took the time left when a request's head came, ahead of its body and maybe ahead of the signal; `last_moment`, which knew no end for a body that flows.

Change: the lifecycle holds both times. What comes behind the signal is answered by the first, counted when its last byte is there; what was taken before keeps its own time. Connections without a request are closed 0.1 s before that, for with short deadlines their 1.5 s would have outlived the process.

--- a/src/bin/haventrack-proxy.rs
+++ b/src/bin/haventrack-proxy.rs
@@ -10,7 +10,7 @@
 use haventrack::proxy::discovery::{Asked, Translator, Watcher};
 use haventrack::proxy::driver::{Driver, Limits};
 use haventrack::proxy::inherited;
-use haventrack::proxy::lifecycle::Lifecycle;
+use haventrack::proxy::lifecycle::{End, Lifecycle};
 use haventrack::proxy::log;
 use haventrack::proxy::operator::Operator;
 use std::error::Error;
@@ -33,6 +33,8 @@
 const DRAIN_STEP: Duration = Duration::from_millis(50);
 /// What the proxy takes beyond the longest deadline before it ends with clients still connected.
 const DRAIN_SLACK: Duration = Duration::from_millis(500);
+/// The platform may kill it 0.7 s after the longest deadline, of which it counts so much at the most.
+const DEADLINE_COUNTED: Duration = Duration::from_secs(3);
 
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
@@ -101,8 +103,9 @@
     log(format_args!("{} listens on {}", config.name, listener.local_addr()?));
     let balancer = Balancer::new(settings.clone(), config.seed, clock.now())?;
     let (subscribe, subscriptions) = mpsc::unbounded_channel();
-    let (driver, handle) = Driver::new(balancer, clock, Rc::clone(&fleet), limits, subscribe);
     let lifecycle = Lifecycle::start();
+    let (driver, handle) =
+        Driver::new(balancer, clock, Rc::clone(&fleet), limits, subscribe, Rc::clone(&lifecycle));
     if let Some(calls) = calls {
         let (lifecycle, counters) = (Rc::clone(&lifecycle), Rc::clone(&counters));
         let operator = Operator::new(lifecycle, counters, Rc::clone(&fleet), handle.clone());
@@ -140,7 +143,7 @@
 async fn drain(clients: &Clients, lifecycle: &Lifecycle, longest: Duration, shared: bool) {
     let began = Instant::now();
     let end = began + longest + DRAIN_SLACK;
-    lifecycle.stop(end);
+    lifecycle.stop(End { answers_by: began + longest.min(DEADLINE_COUNTED) + DRAIN_SLACK, ends_at: end });
     while !shared
         && (began.elapsed() < DRAIN_LEAST || (clients.quiet() < DRAIN_QUIET && began.elapsed() < longest))
     {
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -7,7 +7,7 @@
 use super::config::Names;
 use super::counters::{Counters, End};
 use super::driver::{Answer, Handle, Inbound, Message};
-use super::lifecycle::{GRACE, Lifecycle};
+use super::lifecycle::Lifecycle;
 use super::lines::{Line, LineIo, Lines};
 use super::socket::Socket;
 use super::{BODY_CAP, PASS_CAP, log};
@@ -238,7 +238,7 @@
             .max_buf_size(HEAD_CAP)
             .serve_connection(TokioIo::new(LineIo(Rc::clone(line))), service);
         let mut stages = self.lifecycle.follow();
-        let mut leaves_at = self.lifecycle.is_leaving().then(|| Instant::now() + GRACE);
+        let mut leaves_at = self.lifecycle.closes_at();
         let mut look = pin!(sleep_until(line.late().unwrap_or_else(Instant::now)));
         let mut looked_again = false;
         let ended = loop {
@@ -248,8 +248,8 @@
                 ended = std::future::poll_fn(|cx| conn.poll_without_shutdown(cx)) => break ended,
                 Ok(()) = stages.changed() => {
                     stages.mark_unchanged();
-                    let leaving = self.lifecycle.is_leaving();
-                    leaves_at = leaving.then(|| leaves_at.unwrap_or_else(|| Instant::now() + GRACE));
+                    let closes_at = self.lifecycle.closes_at();
+                    leaves_at = closes_at.map(|at| leaves_at.map_or(at, |sooner| sooner.min(at)));
                 }
                 () = sleep_until(leaves_at.unwrap_or_else(Instant::now)), if leaves_at.is_some() => {
                     // One with a request on it ends with the answer.
@@ -432,13 +432,12 @@
         let time_left = digits.and_then(|v| v.parse::<u64>().ok());
         let time_left = time_left.filter(|&ms| ms <= MOST_TIME_LEFT_MS);
         let patience = time_left.ok_or(bad("X-Time-Left-Ms is missing or makes no sense\n"))? * 1_000;
-        let own = self.lifecycle.time_left().and_then(|left| Micros::try_from(left.as_micros()).ok());
-        let request = crate::api::Request {
+        let mut request = crate::api::Request {
             id: self.handle.number(),
             class: *class,
             tenant,
             key: head.uri.query().and_then(key),
-            patience: patience.min(facts.deadline).min(own.unwrap_or(Micros::MAX)),
+            patience: patience.min(facts.deadline),
             work: text(WEIGHT_HINT).and_then(|v| v.trim().parse().ok()),
             repeat: text(REPEAT) == Some("1"),
         };
@@ -447,6 +446,9 @@
         let call = Call { method: head.method, target, headers, body, over: Over::default() };
         // The time of a request counts from its last byte.
         let arrived = self.clock.now();
+        if let Some(left) = self.lifecycle.time_left() {
+            request.patience = request.patience.min(left.as_micros().try_into().unwrap_or(Micros::MAX));
+        }
         Ok(Inbound { request, arrived, call })
     }
 }
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -4,6 +4,7 @@
 use super::backends::{Call, Ended, Ends, Fleet, Served};
 use super::clock::Clock;
 use super::discovery::Listed;
+use super::lifecycle::Lifecycle;
 use super::log;
 use crate::api::{
     Action, Backend, BackendId, Event, Membership, Micros, Outcome, Request, RequestId, Settled,
@@ -20,6 +21,8 @@
 /// The module is told that a request's time ends this much before the client's does: the answer has to be
 /// written and to travel.
 pub const ANSWER_MARGIN: Micros = 20_000;
+/// A process that ends has answered everything this much before.
+const ENDS_AFTER: Micros = 100_000;
 /// A request that the module has left open is failed this much before the client's time ends.
 const LAST_MARGIN: Micros = 10_000;
 
@@ -145,6 +148,7 @@
     balancer: Balancer,
     clock: Clock,
     fleet: Rc<Fleet>,
+    lifecycle: Rc<Lifecycle>,
     handle: Handle,
     messages: mpsc::UnboundedReceiver<Message>,
     /// Asks discovery for changes, where it has to be asked.
@@ -175,6 +179,7 @@
         fleet: Rc<Fleet>,
         limits: Limits,
         subscribe: mpsc::UnboundedSender<()>,
+        lifecycle: Rc<Lifecycle>,
     ) -> (Self, Handle) {
         let (sender, messages) = mpsc::unbounded_channel();
         let handle = Handle { messages: sender, next_id: Rc::new(Cell::new(1)) };
@@ -182,6 +187,7 @@
             balancer,
             clock,
             fleet,
+            lifecycle,
             handle: handle.clone(),
             messages,
             subscribe,
@@ -238,7 +244,10 @@
         // Its time counts from its last byte.
         if let Some(progress) = open.call.body.progress() {
             let began = progress.done_at().map_or(now, |at| self.clock.at(at));
-            let last = began + open.left.saturating_sub(LAST_MARGIN.min(open.left / 4));
+            let mut last = began + open.left.saturating_sub(LAST_MARGIN.min(open.left / 4));
+            if let Some(end) = self.lifecycle.ends_at() {
+                last = last.min(self.clock.at(end).saturating_sub(ENDS_AFTER));
+            }
             if last > now {
                 return self.timers.push(Reverse((last, Due::LastMoment(request))));
             }
--- a/src/proxy/lifecycle.rs
+++ b/src/proxy/lifecycle.rs
@@ -9,7 +9,10 @@
 
 /// How long a connection that clients hold may still bring a request once the process is to be left alone. Closed
 /// sooner, it would often cross one that is on its way.
-pub const GRACE: Duration = Duration::from_millis(1_500);
+const GRACE: Duration = Duration::from_millis(1_500);
+/// Connections on which nothing happens are closed this long before the last answers are due: a request that comes on
+/// one until then still gets its answer.
+const CLOSED_BEFORE: Duration = Duration::from_millis(100);
 
 /// How far the process is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,8 +36,17 @@
     stage: watch::Sender<Stage>,
     /// A list of backends is held and clients are accepted.
     can_serve: Cell<bool>,
-    /// When the process ends, whatever is open then.
-    ends_at: Cell<Option<Instant>>,
+    /// The times of its end, once it was told to end.
+    end: Cell<Option<End>>,
+}
+
+/// How a process ends.
+#[derive(Clone, Copy, Debug)]
+pub struct End {
+    /// What comes from now on is answered by then: later, the process may be killed.
+    pub answers_by: Instant,
+    /// It ends then, whatever is open.
+    pub ends_at: Instant,
 }
 
 impl Lifecycle {
@@ -42,7 +54,7 @@
     #[must_use]
     pub fn start() -> Rc<Self> {
         let stage = watch::Sender::new(Stage::Starting);
-        Rc::new(Self { stage, can_serve: Cell::new(false), ends_at: Cell::new(None) })
+        Rc::new(Self { stage, can_serve: Cell::new(false), end: Cell::new(None) })
     }
 
     /// How far it is.
@@ -94,16 +106,29 @@
         self.is_not_stopping()
     }
 
-    /// The process was told to end and will have ended at that time.
-    pub fn stop(&self, ends_at: Instant) {
-        self.ends_at.set(Some(ends_at));
+    /// The process was told to end.
+    pub fn stop(&self, end: End) {
+        self.end.set(Some(end));
         self.go(|_| Stage::Stopping);
     }
 
     /// How long a request that comes now may take at the most: none outlives the process.
     #[must_use]
     pub fn time_left(&self) -> Option<Duration> {
-        self.ends_at.get().map(|end| end.saturating_duration_since(Instant::now()))
+        self.end.get().map(|end| end.answers_by.saturating_duration_since(Instant::now()))
+    }
+
+    /// When the process ends, if it was told to.
+    #[must_use]
+    pub fn ends_at(&self) -> Option<Instant> {
+        self.end.get().map(|end| end.ends_at)
+    }
+
+    /// When a connection is closed on which nothing happens from now on, if clients are to leave.
+    #[must_use]
+    pub fn closes_at(&self) -> Option<Instant> {
+        let (now, last) = (Instant::now(), self.end.get().map(|end| end.answers_by - CLOSED_BEFORE));
+        self.is_leaving().then(|| last.map_or(now + GRACE, |last| last.min(now + GRACE)))
     }
 
     fn is_not_stopping(&self) -> Result<(), IsStopping> {
@@ -154,11 +179,15 @@
         let life = Lifecycle::start();
         life.can_serve();
         assert_eq!(life.time_left(), None);
-        life.stop(Instant::now() + Duration::from_secs(3));
+        let end = |ms| Instant::now() + Duration::from_millis(ms);
+        life.stop(End { answers_by: end(3_000), ends_at: end(5_000) });
+        assert_eq!((life.closes_at(), life.ends_at()), (Some(end(1_500)), Some(end(5_000))));
         assert_eq!((life.take_in(), life.take_out()), (Err(IsStopping), Err(IsStopping)));
         assert!(life.is_leaving());
         tokio::time::advance(Duration::from_secs(1)).await;
         assert_eq!(life.time_left(), Some(Duration::from_secs(2)));
+        tokio::time::advance(Duration::from_secs(1)).await;
+        assert_eq!(life.closes_at(), Some(end(900)), "sooner than the last answers");
         tokio::time::advance(Duration::from_secs(5)).await;
         assert_eq!(life.time_left(), Some(Duration::ZERO));
     }
--- a/tests/proxy/moments.rs
+++ b/tests/proxy/moments.rs
@@ -164,3 +164,77 @@
         drop(left);
     }
 }
+
+/// The one connection that there is room for is taken while another waits in the kernel's queue with its request. The
+/// process is told to end, and the first connection ends when nothing else keeps the process.
+#[test]
+fn a_request_that_waits_to_be_accepted_is_served_before_the_process_ends() {
+    let discovery = Discovery::start();
+    let (release, word) = channel();
+    let mut word = Some(word);
+    let backend = Backend::start(move |_| match word.take() {
+        Some(word) => Reply::After(word, Box::new(ok("first"))),
+        None => ok("queued"),
+    });
+    let mut config = config("queued", &discovery);
+    config["limits"]["memory_mb"] = 0.into();
+    let mut proxy = Proxy::start_with("queued", config);
+    discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+    let mut first = proxy.client();
+    first.send(&request("charge", "1", "x"));
+    backend.next();
+    let mut queued = proxy.client();
+    queued.send(&request("charge", "2", "x"));
+    proxy.terminate();
+    // The time for which connections are accepted in any case is over; nothing tells so from outside.
+    std::thread::sleep(Duration::from_millis(1_200));
+    release.send(()).expect("the backend waits");
+    assert_eq!(first.receive().body, b"first");
+    drop(first);
+    assert_eq!(queued.receive().body, b"queued");
+    drop(queued);
+    assert_eq!(proxy.wait().code(), Some(0));
+}
+
+/// The platform may kill the process 3.7 s after the signal, however long the deadlines are.
+const KILLED_AFTER: Duration = Duration::from_millis(3_700);
+
+/// Signals come twice and together, the backend hangs, one connection says nothing, one body is still flowing.
+#[test]
+fn what_comes_behind_sigterm_is_answered_before_the_process_may_be_killed() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| Reply::Hang);
+    let mut proxy = Proxy::start("killed", &discovery, &[entry("s-1", backend.address, "active", 0)]);
+    let (mut silent, mut flowing, mut late) = (proxy.client(), proxy.client(), proxy.client());
+    assert_eq!(late.ask(UP).status(), 200);
+    let whole = request("charge", "flowing", "0123456789");
+    let (most, last) = whole.split_at(whole.len() - 5);
+    flowing.send(most);
+    assert_eq!(proxy.client().ask(UP).status(), 200, "what came before was seen");
+    let began = std::time::Instant::now();
+    proxy.terminate();
+    proxy.reload("{");
+    proxy.terminate();
+    while proxy.client().ask(UP).status() == 200 {}
+    late.send(&request("charge", "late", "x"));
+    std::thread::sleep(Duration::from_millis(1_000));
+    flowing.send(last);
+    for client in [&mut late, &mut flowing] {
+        assert_eq!(client.receive().status(), 502, "it may have run");
+    }
+    assert!(began.elapsed() < KILLED_AFTER, "after {:?}", began.elapsed());
+    assert!(silent.ends_cleanly());
+    drop((silent, flowing, late));
+    assert_eq!(proxy.wait().code(), Some(0));
+    assert!(began.elapsed() < KILLED_AFTER);
+}
+
+#[test]
+fn a_process_that_is_told_to_end_before_it_can_serve_ends_well() {
+    let discovery = Discovery::start();
+    let mut proxy = Proxy::start_bare("unready", &discovery);
+    proxy.terminate();
+    let refused = proxy.client().ask(&request("read", "1", "").replace("15000", "300"));
+    assert_eq!(refused.status(), 503);
+    assert_eq!(proxy.wait().code(), Some(0));
+}
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -107,12 +107,14 @@
         let balancer = Balancer::new(settings, u64::from(me) + 1, clock.now()).expect("good settings");
         let (subscribe, calls) = mpsc::unbounded_channel();
         let limits = Limits { max_attempts: 1, report_by_probe: false };
-        let (driver, handle) = Driver::new(balancer, clock, Rc::clone(&fleet), limits, subscribe);
+        let lifecycle = Lifecycle::start();
+        let (driver, handle) =
+            Driver::new(balancer, clock, Rc::clone(&fleet), limits, subscribe, Rc::clone(&lifecycle));
         let names = Names { zones: vec!["a".into()], kinds: vec!["m".into()], ..Names::default() };
         let (moves, addresses) = watch::channel(discovery);
         let asked = asked.then(|| Asked::new(calls, me, proxies));
         let translator = Translator::new(clock, &names);
-        let mut watcher = Watcher::new(addresses, translator, handle, Lifecycle::start(), asked);
+        let mut watcher = Watcher::new(addresses, translator, handle, lifecycle, asked);
         watcher.start_from(list(1, true, &[("s-1", "active"), ("s-2", "active")]));
         spawn_local(driver.run());
         spawn_local(watcher.run());
