Spread calls after failures over no more time than a proxy may go without one

Symptom: after a failed call a proxy counts as told, from four times `askWithinUs` on, of what it has not asked for.

Line at fault: the span in `subscribe`, which follows the number of proxies alone.

Change: the span ends at four times `askWithinUs` less the longest wait ahead of a call and the call itself (8 s); the reason is in the settings.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -50,6 +50,8 @@
 /// All proxies together call discovery this often: when they start, and after calls that failed.
 const FIRST_CALL_EVERY: Micros = SECOND / 50;
 const CALL_EVERY: Micros = SECOND / 5;
+/// The longest wait ahead of a call and the time that one takes at the most, with a second to spare.
+const CALL_TAKES: Micros = 8 * SECOND;
 /// How long a server that was slow comes after others of the same room.
 const PACE_HOLDS: Micros = 5 * SECOND;
 /// A request without room waits this part of its time left.
@@ -258,7 +260,9 @@
     /// Asks discovery. Departure: not at once, but `wait` from now and at random in the time that all proxies
     /// take at one call `every` so long; together they would keep it overbooked.
     fn subscribe(&mut self, wait: Micros, every: Micros, out: &mut Vec<Action>) {
-        let span = wait.max(u64::from(self.settings.balancers - 1) * every);
+        // A proxy is held to what it could have asked for from four times `ask_within` after a call that failed.
+        let most = self.settings.safety.ask_within.saturating_mul(4).saturating_sub(CALL_TAKES).max(SECOND);
+        let span = wait.max(u64::from(self.settings.balancers - 1) * every).min(most);
         let after = wait + self.rng.u64(0..=span);
         let later = Action::SetTimer { after, token: TIMER_SUBSCRIBE };
         out.push(if after > 0 { later } else { Action::Subscribe });
