End answers of a usual size without an end when their request's time is over

Symptom: an answer of unknown length begins to flow after 0.25 s. One that comes drop by drop and never ends flowed for as long as its client stayed, and its request had no final answer in its time.

Evidence: eight kinds of endless answers over real sockets. Without the change the test does not end: the drops flow on. With it all fail or break off by 5.5 s at under 40 MB.

Line at fault: `pass_on` knew a stall and a size, not the request's time.

Change: at its last moment the driver tells the call that it is over, and an answer of unknown length that is at most 64 KiB so far is broken off, so that its client can tell. Larger ones are timed by their first bytes and are not cut off.

--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -45,7 +45,7 @@
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 
-/// Whether a request is over: its client has left or has its final answer.
+/// Whether a request is over: its client has left or has its final answer, or its time has ended.
 #[derive(Debug, Default)]
 pub struct Over {
     told: Cell<bool>,
@@ -484,7 +484,7 @@
                 let (giver, passing) = Passing::channel(rest.length);
                 let body = AnswerBody::Passing(passing);
                 begins(Served { body, content_type: headers.get(CONTENT_TYPE).cloned() });
-                let outcome = pass_on(giver, rest, cancel).await;
+                let outcome = pass_on(giver, rest, cancel, &call.over).await;
                 if outcome == Outcome::Ok {
                     self.keep(&server, conn);
                 }
@@ -683,9 +683,10 @@
     })
 }
 
-/// Passes an answer on as fast as its client takes it.
-async fn pass_on(giver: Giver, rest: Rest, mut cancel: oneshot::Receiver<()>) -> Outcome {
-    let Rest { first, mut body, .. } = rest;
+/// Passes an answer on as fast as its client takes it. Of a usual size the last byte matters: one whose length nobody
+/// knows, and that is no larger when its request's time is over, is taken for one without an end.
+async fn pass_on(giver: Giver, rest: Rest, mut cancel: oneshot::Receiver<()>, over: &Over) -> Outcome {
+    let Rest { first, mut body, length } = rest;
     let mut passed = 0;
     for piece in first.into_pieces() {
         passed += piece.len() as u64;
@@ -699,6 +700,7 @@
             data = timeout(ANSWER_STALL, next_data(&mut body)) => data,
             () = giver.unwanted() => return Outcome::Cancelled,
             Ok(()) = &mut cancel => return Outcome::Cancelled,
+            () = over.told(), if length.is_none() && passed <= BODY_CAP as u64 => return Outcome::Timeout,
         };
         match data {
             Ok(Ok(Some(data))) => {
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -252,9 +252,9 @@
                 return self.timers.push(Reverse((last, Due::LastMoment(request))));
             }
         }
+        open.call.over.tell();
         let Some(client) = open.client.take() else { return };
         let _ = client.send(Answer::Failed);
-        open.call.over.tell();
         self.feed(now, Event::ClientGone(request));
         self.forget(request);
     }
--- a/tests/proxy/moments.rs
+++ b/tests/proxy/moments.rs
@@ -238,3 +238,48 @@
     assert_eq!(refused.status(), 503);
     assert_eq!(proxy.wait().code(), Some(0));
 }
+
+/// Answers without an end, as fast as they are taken and drop by drop.
+#[test]
+fn answers_that_never_end_fail_in_time_and_take_no_memory() {
+    let ok = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let (fast, slow) = (Duration::ZERO, Duration::from_millis(20));
+    let large = "x".repeat(64 * 1024);
+    let cases = [
+        ("HTTP/1.1 200 OK\r\nX-Long: ", "x", slow),
+        ("HTTP/1.1 200 OK\r\n", "X-Field: value\r\n", fast),
+        ("", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", fast),
+        ("HTTP/1.1 500 Oops\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", slow),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n", "x", slow),
+        (ok, "1\r\nx\r\n", slow),
+        (ok, &format!("{:x}\r\n{large}\r\n", large.len()), fast),
+        ("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "x", slow),
+    ];
+    let (mut proxies, mut clients) = (Vec::new(), Vec::new());
+    for (i, (first, again, pause)) in cases.into_iter().enumerate() {
+        let (first, again) = (first.as_bytes().to_vec(), again.as_bytes().to_vec());
+        let discovery = Discovery::start();
+        let backend = Backend::start(move |_| Reply::Endless(first.clone(), again.clone(), pause));
+        let proxy =
+            Proxy::start(&format!("endless-{i}"), &discovery, &[entry("s-1", backend.address, "active", 0)]);
+        let mut client = proxy.client();
+        client.send(&request("charge", "1", "x").replace("15000", "2000"));
+        clients.push(client);
+        proxies.push((proxy, backend, discovery));
+    }
+    let began = std::time::Instant::now();
+    for (i, mut client) in clients.into_iter().enumerate() {
+        let mut got = Vec::new();
+        let ended = std::io::Read::read_to_end(&mut client.reader, &mut got);
+        let failed = got.starts_with(b"HTTP/1.1 502");
+        assert!(
+            failed || (ended.is_err() && got.starts_with(b"HTTP/1.1 200")),
+            "case {i}: {} bytes",
+            got.len()
+        );
+        let (proxy, ..) = &proxies[i];
+        assert!(proxy.peak_memory() < 40_000, "case {i}: {} kB", proxy.peak_memory());
+    }
+    // One that fails may stay idle for 2.5 s.
+    assert!(began.elapsed() < Duration::from_millis(5_500), "{:?}", began.elapsed());
+}
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -79,6 +79,8 @@
     After(Receiver<()>, Box<Reply>),
     /// Writes these bytes, waits for a word, then does that.
     Then(Vec<u8>, Receiver<()>, Box<Reply>),
+    /// Writes these bytes, then those again and again with a pause between them.
+    Endless(Vec<u8>, Vec<u8>, Duration),
     /// Never answers.
     Hang,
 }
@@ -117,6 +119,13 @@
             let _ = word.recv_timeout(PATIENCE);
             carry_out(*reply, stream)
         }
+        Reply::Endless(first, again, pause) => {
+            let _ = stream.write_all(&first);
+            while stream.write_all(&again).is_ok() {
+                thread::sleep(pause);
+            }
+            false
+        }
         Reply::Hang => true,
     }
 }
