--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -50,6 +50,8 @@
 /// All proxies together call discovery this often: when they start, and after calls that failed.
 const FIRST_CALL_EVERY: Micros = SECOND / 50;
 const CALL_EVERY: Micros = SECOND / 5;
+/// The longest wait ahead of a call and the time that one takes at the most, with a second to spare.
+const CALL_TAKES: Micros = 8 * SECOND;
 /// How long a server that was slow comes after others of the same room.
 const PACE_HOLDS: Micros = 5 * SECOND;
 /// A request without room waits this part of its time left.
@@ -258,7 +260,9 @@
     /// Asks discovery. Departure: not at once, but `wait` from now and at random in the time that all proxies
     /// take at one call `every` so long; together they would keep it overbooked.
     fn subscribe(&mut self, wait: Micros, every: Micros, out: &mut Vec<Action>) {
-        let span = wait.max(u64::from(self.settings.balancers - 1) * every);
+        // A proxy is held to what it could have asked for from four times `ask_within` after a call that failed.
+        let most = self.settings.safety.ask_within.saturating_mul(4).saturating_sub(CALL_TAKES).max(SECOND);
+        let span = wait.max(u64::from(self.settings.balancers - 1) * every).min(most);
         let after = wait + self.rng.u64(0..=span);
         let later = Action::SetTimer { after, token: TIMER_SUBSCRIBE };
         out.push(if after > 0 { later } else { Action::Subscribe });
@@ -460,7 +464,7 @@
         match self.settings.classes[open.class].effect {
             Effect::Safe => Scope::Anywhere,
             Effect::Unsafe => Scope::Nowhere,
-            Effect::Keyed { ttl, .. } if now >= first.sent_at.saturating_add(ttl) => Scope::Nowhere,
+            Effect::Keyed { .. } if self.window_end(open) <= Some(now) => Scope::Nowhere,
             Effect::Keyed { group: DedupGroup::All, .. } => Scope::Anywhere,
             Effect::Keyed { group: DedupGroup::Zone, .. } => Scope::Zone(self.servers[first.server].zone),
             Effect::Keyed { group: DedupGroup::Cell, .. } => Scope::Cell(self.servers[first.server].cell),
@@ -637,6 +641,7 @@
         self.in_flight += 1;
         server.window.filled |= i64::from(server.in_flight) * 4 >= server.slots(self.pool.spread) * 3;
         let (give_up_at, early) = self.give_up_at(now, &self.open[slot]);
+        let write_by = self.window_end(&self.open[slot]);
         let open = &mut self.open[slot];
         let state = AttemptState::Out;
         open.attempts.push(Attempt {
@@ -651,7 +656,14 @@
         });
         self.servers[index].held += 1;
         let backend = self.servers[index].id;
-        out.push(Action::Send { request: open.id, backend, give_up_at });
+        out.push(Action::Send { request: open.id, backend, give_up_at, write_by });
+    }
+
+    /// Rule 2: when backends may forget the key of a request that may have run.
+    fn window_end(&self, open: &Open) -> Option<Micros> {
+        let Effect::Keyed { ttl, .. } = self.settings.classes[open.class].effect else { return None };
+        let first = open.attempts.iter().find(|a| a.state != AttemptState::NeverRan)?;
+        Some(first.sent_at.saturating_add(ttl))
     }
 
     /// When an attempt that starts now is given up, and whether that tells that it was lost. Departure:
--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -5,6 +5,7 @@
 
 use super::bodies::{AnswerBody, CallBody, Gathered, Giver, Held, Passing, ToBackend, next_data};
 use super::counters::Counters;
+use super::socket::{Socket, Unread};
 use super::{ANSWER_STALL, BODY_CAP, PASS_CAP, connect};
 use crate::api::{BackendId, Micros, Outcome, Readiness};
 use hyper::body::{Body, Incoming};
@@ -18,15 +19,13 @@
 use std::cell::{Cell, RefCell};
 use std::error::Error;
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
@@ -46,6 +45,28 @@
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 
+/// Whether a request is over: its client has left or has its final answer.
+#[derive(Debug, Default)]
+pub struct Over {
+    told: Cell<bool>,
+    waiting: Notify,
+}
+
+impl Over {
+    /// It is over.
+    pub fn tell(&self) {
+        self.told.set(true);
+        self.waiting.notify_waiters();
+    }
+
+    /// Waits until it is.
+    pub async fn told(&self) {
+        while !self.told.get() {
+            self.waiting.notified().await;
+        }
+    }
+}
+
 /// What goes to a backend, the same at every attempt.
 #[derive(Debug)]
 pub struct Call {
@@ -57,6 +78,8 @@
     pub headers: HeaderMap,
     /// The body, unchanged.
     pub body: CallBody,
+    /// What is not written whole by then is not sent any more.
+    pub over: Over,
 }
 
 /// A backend's 200 answer.
@@ -68,6 +91,15 @@
     pub content_type: Option<HeaderValue>,
 }
 
+/// When an attempt ends at the latest.
+#[derive(Clone, Copy, Debug)]
+pub struct Ends {
+    /// It is given up.
+    pub give_up: Instant,
+    /// What is not written whole by then is not sent any more.
+    pub write_by: Option<Instant>,
+}
+
 /// How an attempt or a probe ended.
 #[derive(Debug)]
 pub struct Ended {
@@ -87,9 +119,9 @@
     }
 }
 
-/// A connection's socket, with a count of the bytes that it took.
+/// What a connection's socket took.
 struct Wire {
-    stream: TcpStream,
+    socket: Socket,
     written: Cell<u64>,
     /// The count at which the present attempt is written whole, until it is.
     whole_at: Cell<Option<u64>>,
@@ -97,14 +129,6 @@
 }
 
 impl Wire {
-    /// Whether nothing has come in since the last answer: neither the backend's goodbye nor stray bytes. The
-    /// runtime may not have seen yet what the kernel knows already, so the socket itself is asked.
-    fn is_quiet(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
-        peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
-    }
-
     fn wrote(&self, bytes: u64) {
         self.written.set(self.written.get() + bytes);
         if self.whole_at.get().is_some_and(|whole| self.written.get() >= whole) {
@@ -119,43 +143,22 @@
 
 impl AsyncRead for WireIo {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.0.stream.poll_read_ready(cx))?;
-            match self.0.stream.try_read(buf.initialize_unfilled()) {
-                Ok(read) => {
-                    buf.advance(read);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
+        self.0.socket.poll_read(cx, buf)
     }
 }
 
 impl WireIo {
-    fn poll_with(
-        &self,
-        cx: &mut Context<'_>,
-        write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.stream.poll_write_ready(cx))?;
-            match write(&self.0.stream) {
-                Ok(written) => {
-                    self.0.wrote(written as u64);
-                    return Poll::Ready(Ok(written));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
+    fn wrote(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(written)) = written {
+            self.0.wrote(written as u64);
         }
+        written
     }
 }
 
 impl AsyncWrite for WireIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.poll_with(cx, |stream| stream.try_write(buf))
+        self.wrote(self.0.socket.poll_write(cx, |stream| stream.try_write(buf)))
     }
 
     fn poll_write_vectored(
@@ -163,7 +166,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.poll_with(cx, |stream| stream.try_write_vectored(bufs))
+        self.wrote(self.0.socket.poll_write(cx, |stream| stream.try_write_vectored(bufs)))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -175,7 +178,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(socket2::SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(self.0.socket.end_sending())
     }
 }
 
@@ -343,11 +346,15 @@
         !idle.conn.sender.is_closed() && idle.since.elapsed() < self.idle_limit
     }
 
-    /// The connection that was used last: the others may then grow old and be closed.
+    /// The connection that was used last, if nothing has come in on it since: neither the backend's goodbye nor stray
+    /// bytes. The others may then grow old and be closed.
     fn take_idle(&self, server: &Server) -> Option<Conn> {
         let mut all = server.idle.borrow_mut();
         while let Some(idle) = all.pop() {
-            if self.is_usable(&idle) && idle.conn.sender.is_ready() && idle.conn.wire.is_quiet() {
+            if self.is_usable(&idle)
+                && idle.conn.sender.is_ready()
+                && idle.conn.wire.socket.unread() == Unread::Nothing
+            {
                 return Some(idle.conn);
             }
         }
@@ -376,7 +383,7 @@
         let connecting = timeout_at(until, connect(server.address.get())).await;
         let stream = connecting.map_err(|_| NoConn::Backends)??;
         let (written, whole_at, counters) = (Cell::new(0), Cell::new(None), Rc::clone(&self.counters));
-        let wire = Rc::new(Wire { stream, written, whole_at, counters });
+        let wire = Rc::new(Wire { socket: Socket::new(stream), written, whole_at, counters });
         let io = TokioIo::new(WireIo(Rc::clone(&wire)));
         let handshake = http1::Builder::new().max_buf_size(HEAD_CAP).handshake(io).await;
         let (sender, connection) = handshake.map_err(|_| NoConn::Backends)?;
@@ -398,17 +405,17 @@
         });
     }
 
-    /// One attempt of a request on a backend, given up at `give_up` or when `cancel` fires. An answer that flows
+    /// One attempt of a request on a backend, given up as `ends` says or when `cancel` fires. An answer that flows
     /// through is handed to `begins` when it begins; the attempt then ends with it.
     pub async fn attempt(
         self: Rc<Self>,
         server: Rc<Server>,
         call: Rc<Call>,
-        give_up: Instant,
+        ends: Ends,
         cancel: oneshot::Receiver<()>,
         begins: impl FnOnce(Served),
     ) -> Ended {
-        let mut ended = self.try_once(server, &call, give_up, cancel, begins).await;
+        let mut ended = self.try_once(server, &call, ends, cancel, begins).await;
         ended.spent = call.body.progress().is_some_and(|progress| progress.is_spent());
         ended
     }
@@ -417,15 +424,17 @@
         self: Rc<Self>,
         server: Rc<Server>,
         call: &Call,
-        give_up: Instant,
+        ends: Ends,
         mut cancel: oneshot::Receiver<()>,
         begins: impl FnOnce(Served),
     ) -> Ended {
+        let Ends { give_up, write_by } = ends;
         let conn = match self.take_idle(&server) {
             Some(conn) => Ok(conn),
             None => tokio::select! {
                 conn = self.dial(&server, give_up) => conn,
                 Ok(()) = &mut cancel => return Outcome::Moot.into(),
+                () = unwanted(call, write_by) => return Outcome::Moot.into(),
             },
         };
         let mut conn = match conn {
@@ -447,19 +456,29 @@
         let length = request.body().size_hint().exact();
         let whole = length.map(|length| conn.wire.written.get() + least_size(&request, length));
         conn.wire.whole_at.set(whole);
+        let progress = call.body.progress();
+        let is_written = || {
+            whole.map_or_else(
+                || progress.is_some_and(|progress| progress.done_at().is_some()),
+                |whole| conn.wire.written.get() >= whole,
+            )
+        };
+        let not_wanted = async {
+            unwanted(call, write_by).await;
+            if is_written() {
+                std::future::pending::<()>().await;
+            }
+        };
         let exchanged = tokio::select! {
             biased;
+            () = not_wanted => Err(Broken::Cancelled),
             exchanged = exchange(&mut conn.sender, request) => exchanged,
             Ok(()) = &mut cancel => Err(Broken::Cancelled),
             () = given_up(call, give_up, left) => Err(Broken::TimedOut),
         };
         // Rule 2: what the socket did not take whole can't run; of anything else nothing is certain. Reading
         // the count and dropping the connection happen in one step, so nothing more is written in between.
-        let progress = call.body.progress();
-        let all_written = whole.map_or_else(
-            || progress.is_some_and(|progress| progress.done_at().is_some()),
-            |whole| conn.wire.written.get() >= whole,
-        );
+        let all_written = is_written();
         match exchanged {
             Ok(Reply { body: ReplyBody::Begins(rest), status, headers }) => {
                 let (giver, passing) = Passing::channel(rest.length);
@@ -535,8 +554,8 @@
             Err(no_conn) => return no_conn.outcome().into(),
         };
         let target = Uri::from_static(if deep { "/metrics/load" } else { "/alive" });
-        let call =
-            Call { method: Method::GET, target, headers: HeaderMap::new(), body: Held::default().into() };
+        let (headers, body, over) = (HeaderMap::new(), Held::default().into(), Over::default());
+        let call = Call { method: Method::GET, target, headers, body, over };
         let body = ToBackend::Whole(Held::default());
         let request = request(&call, body, &server, PROBE_TIMEOUT);
         match timeout_at(until, exchange(&mut conn.sender, request)).await {
@@ -706,6 +725,14 @@
     }
 }
 
+/// Waits until what is not written of an attempt is not to be sent.
+async fn unwanted(call: &Call, write_by: Option<Instant>) {
+    tokio::select! {
+        () = call.over.told() => {}
+        () = sleep_until(write_by.unwrap_or_else(Instant::now)), if write_by.is_some() => {}
+    }
+}
+
 /// Waits until an attempt has to be given up. The time of a request counts from its last byte, so where that is
 /// still to come the time that is left begins with it.
 async fn given_up(call: &Call, give_up: Instant, left: Duration) {
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -1,9 +1,10 @@
 //! Owns the [`Balancer`]: feeds it events on one clock, carries out its actions, keeps its timers and the
 //! table of requests. All other tasks talk to it through a [`Handle`].
 
-use super::backends::{Call, Ended, Fleet, Served};
+use super::backends::{Call, Ended, Ends, Fleet, Served};
 use super::clock::Clock;
 use super::discovery::Listed;
+use super::lifecycle::Lifecycle;
 use super::log;
 use crate::api::{
     Action, Backend, BackendId, Event, Membership, Micros, Outcome, Request, RequestId, Settled,
@@ -20,6 +21,8 @@
 /// The module is told that a request's time ends this much before the client's does: the answer has to be
 /// written and to travel.
 pub const ANSWER_MARGIN: Micros = 20_000;
+/// A process that ends has answered everything this much before.
+const ENDS_AFTER: Micros = 100_000;
 /// A request that the module has left open is failed this much before the client's time ends.
 const LAST_MARGIN: Micros = 10_000;
 
@@ -145,6 +148,7 @@
     balancer: Balancer,
     clock: Clock,
     fleet: Rc<Fleet>,
+    lifecycle: Rc<Lifecycle>,
     handle: Handle,
     messages: mpsc::UnboundedReceiver<Message>,
     /// Asks discovery for changes, where it has to be asked.
@@ -175,6 +179,7 @@
         fleet: Rc<Fleet>,
         limits: Limits,
         subscribe: mpsc::UnboundedSender<()>,
+        lifecycle: Rc<Lifecycle>,
     ) -> (Self, Handle) {
         let (sender, messages) = mpsc::unbounded_channel();
         let handle = Handle { messages: sender, next_id: Rc::new(Cell::new(1)) };
@@ -182,6 +187,7 @@
             balancer,
             clock,
             fleet,
+            lifecycle,
             handle: handle.clone(),
             messages,
             subscribe,
@@ -238,13 +244,17 @@
         // Its time counts from its last byte.
         if let Some(progress) = open.call.body.progress() {
             let began = progress.done_at().map_or(now, |at| self.clock.at(at));
-            let last = began + open.left.saturating_sub(LAST_MARGIN.min(open.left / 4));
+            let mut last = began + open.left.saturating_sub(LAST_MARGIN.min(open.left / 4));
+            if let Some(end) = self.lifecycle.ends_at() {
+                last = last.min(self.clock.at(end).saturating_sub(ENDS_AFTER));
+            }
             if last > now {
                 return self.timers.push(Reverse((last, Due::LastMoment(request))));
             }
         }
         let Some(client) = open.client.take() else { return };
         let _ = client.send(Answer::Failed);
+        open.call.over.tell();
         self.feed(now, Event::ClientGone(request));
         self.forget(request);
     }
@@ -257,6 +267,8 @@
                 if let Some(open) = self.open.get_mut(&request)
                     && open.client.take().is_some()
                 {
+                    // Rule 1: an attempt that still waits for its connection is not sent for nobody.
+                    open.call.over.tell();
                     self.feed(now, Event::ClientGone(request));
                     self.forget(request);
                 }
@@ -383,7 +395,9 @@
         let mut actions = std::mem::take(&mut self.actions);
         for action in actions.drain(..) {
             match action {
-                Action::Send { request, backend, give_up_at } => self.send(now, request, backend, give_up_at),
+                Action::Send { request, backend, give_up_at, write_by } => {
+                    self.send(now, request, backend, give_up_at, write_by);
+                }
                 Action::Refuse { request, retry_after } => {
                     self.answer(request, Answer::Refused { retry_after });
                 }
@@ -410,7 +424,14 @@
         }
     }
 
-    fn send(&mut self, now: Micros, request: RequestId, backend: BackendId, give_up_at: Micros) {
+    fn send(
+        &mut self,
+        now: Micros,
+        request: RequestId,
+        backend: BackendId,
+        give_up_at: Micros,
+        write_by: Option<Micros>,
+    ) {
         let Some(open) = self.open.get_mut(&request) else { return };
         let number = open.attempts.len() as u16;
         let (cancel, cancelled) = oneshot::channel();
@@ -422,10 +443,13 @@
             return;
         };
         let (fleet, call, handle) = (Rc::clone(&self.fleet), Rc::clone(&open.call), self.handle.clone());
-        let give_up = self.clock.instant(give_up_at);
+        let ends = Ends {
+            give_up: self.clock.instant(give_up_at),
+            write_by: write_by.map(|at| self.clock.instant(at)),
+        };
         tokio::task::spawn_local(async move {
             let begins = |served| handle.tell(Message::Begins(request, number, served));
-            let ended = fleet.attempt(server, call, give_up, cancelled, begins).await;
+            let ended = fleet.attempt(server, call, ends, cancelled, begins).await;
             handle.tell(Message::Ended(request, number, ended));
         });
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -327,7 +327,7 @@
         let micros = |t: Micros| u32::try_from(t).unwrap_or(u32::MAX).to_be_bytes();
         self.source(instance);
         match action {
-            Action::Send { request, backend, give_up_at } => {
+            Action::Send { request, backend, give_up_at, .. } => {
                 self.record(64, &[&request.to_be_bytes(), &give_up_at.to_be_bytes(), &backend.to_be_bytes()]);
             }
             Action::Refuse { request, retry_after } => {
@@ -498,8 +498,8 @@
 /// # Errors
 /// Names the key that is missing or makes no sense.
 pub fn parse_settings(json: &[u8]) -> Result<Settings, SettingsError> {
-    let raw: RawSettings = serde_json::from_slice(json)
-        .map_err(|e| SettingsError { field: "start-up settings".into(), problem: e.to_string() })?;
+    let raw: RawSettings = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(json))
+        .map_err(|e| SettingsError { field: e.path().to_string(), problem: e.into_inner().to_string() })?;
     let position = |name: &str| raw.load_report.fields.iter().position(|f| f == name);
     let classes = raw.classes.iter().enumerate().map(|(i, c)| class(i, c)).collect::<Result<_, _>>()?;
     let settings = Settings {
--- /dev/null
+++ b/tests/proxy/moments.rs
@@ -0,0 +1,240 @@
+//! Ill-timed moments: what comes between a decision and what follows from it.
+
+use crate::rig::*;
+use crate::{ROOM, UP, fill, full_backend};
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::mpsc::channel;
+use std::time::Duration;
+
+/// A connection that is asked for again and again comes up this long after its queue has room, at the latest.
+const COMES_UP: Duration = Duration::from_secs(4);
+
+/// The ids of the requests that come on connections to a backend, which answers them, until none has come up for long.
+fn ids_that_come(listener: TcpListener) -> Vec<String> {
+    let listener = socket2::Socket::from(listener);
+    listener.set_read_timeout(Some(COMES_UP)).expect("a time-out");
+    let mut seen = Vec::new();
+    while let Ok((stream, _)) = listener.accept() {
+        let mut stream = TcpStream::from(stream);
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        let Some(got) = read_message(&mut BufReader::new(&stream)) else { continue };
+        seen.push(got.header("x-correlation-id").expect("an id").to_owned());
+        stream.write_all(&answer("200 OK", "", b"there")).expect("the proxy reads");
+    }
+    seen
+}
+
+#[test]
+fn a_request_whose_client_left_while_its_connection_came_up_is_not_sent() {
+    let discovery = Discovery::start();
+    let backend = FullQueue::start();
+    let proxy = Proxy::start("left-dialing", &discovery, &[entry("s-1", backend.address, "active", 0)]);
+    let mut leaver = proxy.client();
+    leaver.send(&request("charge", "left", "x"));
+    assert_eq!(proxy.client().ask(UP).status(), 200, "the proxy has seen what came before");
+    leaver.stream.shutdown(Shutdown::Write).expect("an open connection");
+    assert!(leaver.ends_cleanly(), "the proxy has seen that the client left");
+    let mut client = proxy.client();
+    client.send(&request("charge", "stays", "x"));
+    assert_eq!(ids_that_come(backend.empty()), ["stays"]);
+    assert_eq!(client.receive().body, b"there");
+}
+
+/// For how long backends drop a repeat.
+const WINDOW: Duration = Duration::from_millis(600);
+
+/// The window counts from the first attempt that may have run, and ends before the connection of the second comes up.
+#[test]
+fn a_repeat_of_a_key_is_not_sent_once_backends_may_have_forgotten_it() {
+    let discovery = Discovery::start();
+    let (release, word) = channel();
+    let mut reply = Some(Reply::After(word, Box::new(Reply::WriteAndClose(Vec::new()))));
+    let breaks = Backend::start(move |_| reply.take().expect("asked once"));
+    let late = FullQueue::start();
+    let mut config = config("window", &discovery);
+    config["settings"]["classes"][1]["keyTtlUs"] = (WINDOW.as_micros() as u64).into();
+    let proxy = Proxy::start_with("window", config);
+    discovery.post(true, &[entry("s-1", breaks.address, "active", 0)]);
+    let mut client = proxy.client();
+    client.send(&request("submit", "keyed", "x"));
+    breaks.next();
+    discovery.post(false, &[entry("s-2", late.address, "active", 0)]);
+    release.send(()).expect("the backend waits");
+    // The one span of time that matters here: it is over before the second backend takes a connection.
+    std::thread::sleep(WINDOW);
+    assert_eq!(ids_that_come(late.empty()), [""; 0]);
+    assert_eq!(client.receive().status(), 502, "it may have run, and is not repeated");
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Way {
+    Close,
+    HalfClose,
+    Reset,
+}
+
+const WAYS: [Way; 3] = [Way::Close, Way::HalfClose, Way::Reset];
+
+/// Leaves in that way; what is still held after a half-close is returned.
+fn leave(client: Client, way: Way) -> Option<Client> {
+    match way {
+        Way::Close => None,
+        Way::HalfClose => {
+            client.stream.shutdown(Shutdown::Write).expect("an open connection");
+            Some(client)
+        }
+        Way::Reset => {
+            let socket = socket2::SockRef::from(&client.stream);
+            socket.set_linger(Some(Duration::ZERO)).expect("an open connection");
+            None
+        }
+    }
+}
+
+/// A proxy whose held requests wait for many seconds.
+fn patient(name: &str, discovery: &Discovery, backend: &Backend, memory_mb: u64) -> Proxy {
+    let mut config = operated(name, discovery);
+    config["settings"]["classes"][2]["deadlineUs"] = 200_000_000.into();
+    config["settings"]["classes"][2]["aimUs"] = 100_000_000.into();
+    config["limits"]["memory_mb"] = memory_mb.into();
+    let proxy = Proxy::start_with(name, config);
+    discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+    proxy
+}
+
+/// Waits until so many requests are in progress, for less time than any is held.
+fn in_progress(proxy: &Proxy, requests: usize) {
+    let began = std::time::Instant::now();
+    while proxy.figure("app_in_progress") != requests as u64 {
+        assert!(began.elapsed() < Duration::from_secs(5), "not {requests} in progress");
+    }
+}
+
+/// Lets the backend answer, and asks for more: whatever else it sees was sent on for nobody.
+fn only_new_ones_come(
+    proxy: &Proxy,
+    backend: &Backend,
+    clients: Vec<Client>,
+    releases: &[std::sync::mpsc::Sender<()>],
+) {
+    for (release, mut client) in releases.iter().zip(clients.into_iter().rev()) {
+        release.send(()).expect("the backend waits");
+        assert_eq!(client.receive().status(), 200);
+    }
+    assert_eq!(proxy.client().ask(&request("charge", "stays", "x")).status(), 200);
+    assert_eq!(backend.next().header("x-correlation-id"), Some("stays"));
+}
+
+#[test]
+fn held_requests_whose_clients_leave_in_a_burst_are_not_sent_whatever_came_behind_them() {
+    let discovery = Discovery::start();
+    let (backend, releases) = full_backend();
+    let proxy = patient("burst", &discovery, &backend, 192);
+    let clients = fill(&proxy, &backend);
+    let behind = [String::new(), request("charge", "behind", "x"), "x".repeat(20_000)];
+    let mut leavers = Vec::new();
+    for (i, (way, behind)) in WAYS.iter().flat_map(|way| behind.iter().map(move |b| (*way, b))).enumerate() {
+        let mut client = proxy.client();
+        client.send(&(request("charge", &format!("left-{i}"), "x").replace("15000", "190000") + behind));
+        leavers.push((client, way));
+    }
+    in_progress(&proxy, ROOM + leavers.len());
+    let left: Vec<_> = leavers.into_iter().filter_map(|(client, way)| leave(client, way)).collect();
+    in_progress(&proxy, ROOM);
+    only_new_ones_come(&proxy, &backend, clients, &releases);
+    drop(left);
+}
+
+/// The end of its body is in the kernel still, for nobody reads it before the request has room.
+#[test]
+fn a_held_request_whose_client_leaves_behind_its_unread_body_is_not_sent() {
+    for way in WAYS {
+        let discovery = Discovery::start();
+        let (backend, releases) = full_backend();
+        let proxy = patient(&format!("unread-{way:?}"), &discovery, &backend, 8);
+        let clients = fill(&proxy, &backend);
+        let mut client = proxy.client();
+        let body = "x".repeat(1_740_000);
+        client.send(&request("charge", "left", &body).replace("15000", "190000"));
+        in_progress(&proxy, ROOM + 1);
+        let left = leave(client, way);
+        in_progress(&proxy, ROOM);
+        only_new_ones_come(&proxy, &backend, clients, &releases);
+        drop(left);
+    }
+}
+
+/// The one connection that there is room for is taken while another waits in the kernel's queue with its request. The
+/// process is told to end, and the first connection ends when nothing else keeps the process.
+#[test]
+fn a_request_that_waits_to_be_accepted_is_served_before_the_process_ends() {
+    let discovery = Discovery::start();
+    let (release, word) = channel();
+    let mut word = Some(word);
+    let backend = Backend::start(move |_| match word.take() {
+        Some(word) => Reply::After(word, Box::new(ok("first"))),
+        None => ok("queued"),
+    });
+    let mut config = config("queued", &discovery);
+    config["limits"]["memory_mb"] = 0.into();
+    let mut proxy = Proxy::start_with("queued", config);
+    discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+    let mut first = proxy.client();
+    first.send(&request("charge", "1", "x"));
+    backend.next();
+    let mut queued = proxy.client();
+    queued.send(&request("charge", "2", "x"));
+    proxy.terminate();
+    // The time for which connections are accepted in any case is over; nothing tells so from outside.
+    std::thread::sleep(Duration::from_millis(1_200));
+    release.send(()).expect("the backend waits");
+    assert_eq!(first.receive().body, b"first");
+    drop(first);
+    assert_eq!(queued.receive().body, b"queued");
+    drop(queued);
+    assert_eq!(proxy.wait().code(), Some(0));
+}
+
+/// The platform may kill the process 3.7 s after the signal, however long the deadlines are.
+const KILLED_AFTER: Duration = Duration::from_millis(3_700);
+
+/// Signals come twice and together, the backend hangs, one connection says nothing, one body is still flowing.
+#[test]
+fn what_comes_behind_sigterm_is_answered_before_the_process_may_be_killed() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| Reply::Hang);
+    let mut proxy = Proxy::start("killed", &discovery, &[entry("s-1", backend.address, "active", 0)]);
+    let (mut silent, mut flowing, mut late) = (proxy.client(), proxy.client(), proxy.client());
+    assert_eq!(late.ask(UP).status(), 200);
+    let whole = request("charge", "flowing", "0123456789");
+    let (most, last) = whole.split_at(whole.len() - 5);
+    flowing.send(most);
+    assert_eq!(proxy.client().ask(UP).status(), 200, "what came before was seen");
+    let began = std::time::Instant::now();
+    proxy.terminate();
+    proxy.reload("{");
+    proxy.terminate();
+    while proxy.client().ask(UP).status() == 200 {}
+    late.send(&request("charge", "late", "x"));
+    std::thread::sleep(Duration::from_millis(1_000));
+    flowing.send(last);
+    for client in [&mut late, &mut flowing] {
+        assert_eq!(client.receive().status(), 502, "it may have run");
+    }
+    assert!(began.elapsed() < KILLED_AFTER, "after {:?}", began.elapsed());
+    assert!(silent.ends_cleanly());
+    drop((silent, flowing, late));
+    assert_eq!(proxy.wait().code(), Some(0));
+    assert!(began.elapsed() < KILLED_AFTER);
+}
+
+#[test]
+fn a_process_that_is_told_to_end_before_it_can_serve_ends_well() {
+    let discovery = Discovery::start();
+    let mut proxy = Proxy::start_bare("unready", &discovery);
+    proxy.terminate();
+    let refused = proxy.client().ask(&request("read", "1", "").replace("15000", "300"));
+    assert_eq!(refused.status(), 503);
+    assert_eq!(proxy.wait().code(), Some(0));
+}
