--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -260,7 +260,7 @@
     /// Asks discovery. Departure: not at once, but `wait` from now and at random in the time that all proxies
     /// take at one call `every` so long; together they would keep it overbooked.
     fn subscribe(&mut self, wait: Micros, every: Micros, out: &mut Vec<Action>) {
-        // A proxy is held to what it could have asked for from four times `ask_within` after a call that failed.
+        // A proxy is held to what it could have asked from four times `ask_within` after a call that failed.
         let most = self.settings.safety.ask_within.saturating_mul(4).saturating_sub(CALL_TAKES).max(SECOND);
         let span = wait.max(u64::from(self.settings.balancers - 1) * every).min(most);
         let after = wait + self.rng.u64(0..=span);
