Let no request arrive whole behind an answer that came ahead of its body

Symptom: a backend turns a request away (503, `X-Unprocessed: 1`) before its body is there. The client is told 503, trying again is harmless; then the rest of the body goes out all the same, and the request that "never ran" arrives whole and runs.

Evidence: over real sockets, a body of 3 MiB of which the last 1,000 bytes come behind the answer: the backend read "3145728 bytes of the body" behind its own 503. An early 200, which by the protocol can't be this request's answer, was served.

Ruled out: the write count (`is_written` said no), the HTTP library (it goes on writing behind an early answer, as it may).

Lines at fault: in `try_once`, the two arms for an answer took no notice of `all_written` and kept the connection, on which the library went on writing. Now such a connection is dropped in the step that reads the count; 200 counts as spoilt, the rest as what it says.

Between the lines: the last byte is written between the answer's arrival and the look at the count: then it is whole, and the answer is judged as any other; the mark still says that it never ran. The last byte is written behind the look: the connection's task is aborted ahead of whatever the module does next.

--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -480,6 +480,12 @@
         // the count and dropping the connection happen in one step, so nothing more is written in between.
         let all_written = is_written();
         match exchanged {
+            // Rule 2: kept, the connection would take the rest of a request that is over, and that would run. Good
+            // or begun, what comes ahead of the whole request can't be its answer.
+            Ok(reply) if !all_written => {
+                let ended = self.ended(reply);
+                if ended.outcome == Outcome::Ok { Outcome::Spoilt.into() } else { ended }
+            }
             Ok(Reply { body: ReplyBody::Begins(rest), status, headers }) => {
                 let (giver, passing) = Passing::channel(rest.length);
                 let body = AnswerBody::Passing(passing);
--- a/tests/proxy/moments.rs
+++ b/tests/proxy/moments.rs
@@ -2,9 +2,9 @@
 
 use crate::rig::*;
 use crate::{ROOM, UP, fill, full_backend};
-use std::io::{BufReader, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
-use std::sync::mpsc::channel;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
 /// A connection that is asked for again and again comes up this long after its queue has room, at the latest.
@@ -283,3 +283,56 @@
     // One that fails may stay idle for 2.5 s.
     assert!(began.elapsed() < Duration::from_millis(5_500), "{:?}", began.elapsed());
 }
+
+/// A backend that answers a request once its head has come, and reads on; how much of the body came.
+fn answers_early(early: Vec<u8>, word: Receiver<()>) -> (SocketAddr, Receiver<u64>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (told, came) = channel();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+        let mut line = String::new();
+        while line != "\r\n" {
+            line.clear();
+            reader.read_line(&mut line).expect("a head");
+        }
+        stream.write_all(&early).expect("the proxy reads");
+        word.recv_timeout(PATIENCE).expect("a word");
+        let _ = told.send(std::io::copy(&mut reader, &mut std::io::sink()).unwrap_or_default());
+    });
+    (address, came)
+}
+
+/// Its client has an answer, so the rest of the body must not make it run after all; and nothing that comes ahead of the
+/// whole request can be its answer.
+#[test]
+fn a_request_that_is_answered_ahead_of_its_body_does_not_arrive_whole_later() {
+    const LENGTH: usize = 3 << 20;
+    let large = "x".repeat(100_000);
+    let cases = [
+        (answer("503 Service Unavailable", "X-Unprocessed: 1\r\n", b""), 503),
+        (answer("500 Oops", "", b""), 502),
+        (answer("200 OK", "", b"another's"), 502),
+        (answer("200 OK", "", large.as_bytes()), 502),
+    ];
+    for (i, (early, status)) in cases.into_iter().enumerate() {
+        let discovery = Discovery::start();
+        let (release, word) = channel();
+        let (address, came) = answers_early(early, word);
+        let name = format!("answered-early-{i}");
+        let proxy = Proxy::start(&name, &discovery, &[entry("s-1", address, "active", 0)]);
+        let mut client = proxy.client();
+        let whole = request("charge", "1", &"x".repeat(LENGTH));
+        let (most, last) = whole.split_at(whole.len() - 1_000);
+        client.send(most);
+        assert_eq!(client.receive().status(), status, "case {i}");
+        // Where the proxy has let the request go, nobody reads this.
+        let _ = client.stream.write_all(last.as_bytes());
+        drop(client);
+        release.send(()).expect("the backend waits");
+        let came = came.recv_timeout(PATIENCE).expect("the connection ends");
+        assert!(came < LENGTH as u64, "case {i}: {came} bytes of the body came");
+    }
+}
