Let connections rest before they are used again once second answers were seen

Symptom: a backend, or something on the way, sends a second answer some milliseconds behind the first. Where the connection carries the next request by then, that request is served with another's answer, and its client sees what was made for somebody else.

Evidence: over real sockets in paused time, a backend that says everything twice, 5 ms apart: "/fourth" was answered "/second".

Ruled out: bytes that come with the first answer or before the next request is written (the HTTP library and `take_idle` see them); a mark in the answers that names their request (there is none); the length of the dial as a bound (0.3 to 0.7 ms, too short).

Lines at fault: `take_idle` took the connection used last, however shortly before.

Change: bytes that come while no request is out are noted; for a minute from then on a connection rests 10 ms first and is looked at again. Left: the first such answer of a minute, if its connection is taken within its few milliseconds. Not taken: resting always.

Between the lines: cancelled, over or no longer ready while it rests: looked at in the same places as a dial. A backend that leaves meanwhile: the life of the connection is checked behind the rest.

--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -36,6 +36,11 @@
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
 /// How long a connection may take to become free again behind its answer.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a connection rests behind an answer before it carries a further request, where second answers were seen of
+/// late. They come some milliseconds behind the first; once a request is out, one would be taken for its own.
+const REST: Duration = Duration::from_millis(10);
+/// How long a second answer counts as seen of late.
+const STRAY_COUNTS: Duration = Duration::from_secs(60);
 /// An answer of unknown length begins to be passed on this long after its head, if it is not whole by then.
 const BEGIN_AFTER: Duration = Duration::from_millis(250);
 /// The largest head of an answer, and what a connection reads ahead: one that does not end must not take
@@ -125,6 +130,9 @@
     written: Cell<u64>,
     /// The count at which the present attempt is written whole, until it is.
     whole_at: Cell<Option<u64>>,
+    /// A request is out on it: what comes may be its answer.
+    asked: Cell<bool>,
+    strays: Rc<Strays>,
     counters: Rc<Counters>,
 }
 
@@ -143,7 +151,12 @@
 
 impl AsyncRead for WireIo {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        self.0.socket.poll_read(cx, buf)
+        let old = buf.filled().len();
+        let read = self.0.socket.poll_read(cx, buf);
+        if buf.filled().len() > old && !self.0.asked.get() {
+            self.0.strays.note();
+        }
+        read
     }
 }
 
@@ -182,6 +195,23 @@
     }
 }
 
+/// When bytes last came that belong to no request.
+#[derive(Default)]
+struct Strays(Cell<Option<Instant>>);
+
+impl Strays {
+    fn note(&self) {
+        self.0.set(Some(Instant::now()));
+    }
+
+    /// How long a connection has to rest behind an answer. Departure: it has to where second answers were seen of
+    /// late; elsewhere the wait would cost service for nothing.
+    fn rest(&self) -> Duration {
+        let lately = self.0.get().is_some_and(|at| at.elapsed() < STRAY_COUNTS);
+        if lately { REST } else { Duration::ZERO }
+    }
+}
+
 /// Counts an open socket until it is dropped.
 struct Counted(Rc<Cell<usize>>);
 
@@ -246,6 +276,7 @@
     dial_timeout: Duration,
     idle_limit: Duration,
     report_fields: Vec<String>,
+    strays: Rc<Strays>,
     counters: Rc<Counters>,
 }
 
@@ -268,6 +299,7 @@
             dial_timeout: Duration::from_micros(dial_timeout),
             idle_limit: idle.saturating_sub(IDLE_MARGIN).max(idle / 2),
             report_fields,
+            strays: Rc::default(),
             counters,
         })
     }
@@ -346,21 +378,44 @@
         !idle.conn.sender.is_closed() && idle.since.elapsed() < self.idle_limit
     }
 
-    /// The connection that was used last, if nothing has come in on it since: neither the backend's goodbye nor stray
-    /// bytes. The others may then grow old and be closed.
-    fn take_idle(&self, server: &Server) -> Option<Conn> {
+    /// Whether nothing has come in on it since its answer: neither the backend's goodbye nor stray bytes.
+    fn is_clean(&self, idle: &Idle) -> bool {
+        if !self.is_usable(idle) || !idle.conn.sender.is_ready() {
+            return false;
+        }
+        let unread = idle.conn.wire.socket.unread();
+        if unread == Unread::Bytes {
+            self.strays.note();
+        }
+        unread == Unread::Nothing
+    }
+
+    /// The clean connection that was used last. The others may then grow old and be closed.
+    fn take_idle(&self, server: &Server) -> Option<Idle> {
         let mut all = server.idle.borrow_mut();
         while let Some(idle) = all.pop() {
-            if self.is_usable(&idle)
-                && idle.conn.sender.is_ready()
-                && idle.conn.wire.socket.unread() == Unread::Nothing
-            {
-                return Some(idle.conn);
+            if self.is_clean(&idle) {
+                return Some(idle);
             }
         }
         None
     }
 
+    /// A clean connection that has rested, or a new one by `until`.
+    async fn connection(&self, server: &Server, until: Instant) -> Result<Conn, NoConn> {
+        while let Some(idle) = self.take_idle(server) {
+            let rested_at = idle.since + self.strays.rest();
+            if Instant::now() >= rested_at {
+                return Ok(idle.conn);
+            }
+            sleep_until(rested_at.min(until)).await;
+            if self.is_clean(&idle) {
+                return Ok(idle.conn);
+            }
+        }
+        self.dial(server, until).await
+    }
+
     /// Makes room for one more socket; false where every socket is in use.
     fn make_room(&self) -> bool {
         if self.sockets.get() < self.most_sockets {
@@ -383,7 +438,8 @@
         let connecting = timeout_at(until, connect(server.address.get())).await;
         let stream = connecting.map_err(|_| NoConn::Backends)??;
         let (written, whole_at, counters) = (Cell::new(0), Cell::new(None), Rc::clone(&self.counters));
-        let wire = Rc::new(Wire { socket: Socket::new(stream), written, whole_at, counters });
+        let (asked, strays) = (Cell::new(false), Rc::clone(&self.strays));
+        let wire = Rc::new(Wire { socket: Socket::new(stream), written, whole_at, asked, strays, counters });
         let io = TokioIo::new(WireIo(Rc::clone(&wire)));
         let handshake = http1::Builder::new().max_buf_size(HEAD_CAP).handshake(io).await;
         let (sender, connection) = handshake.map_err(|_| NoConn::Backends)?;
@@ -396,6 +452,7 @@
 
     /// Keeps a connection for the next attempt once it is free again.
     fn keep(self: &Rc<Self>, server: &Rc<Server>, mut conn: Conn) {
+        conn.wire.asked.set(false);
         let server = Rc::clone(server);
         tokio::task::spawn_local(async move {
             let free = timeout(SETTLE_TIMEOUT, conn.sender.ready()).await;
@@ -429,13 +486,11 @@
         begins: impl FnOnce(Served),
     ) -> Ended {
         let Ends { give_up, write_by } = ends;
-        let conn = match self.take_idle(&server) {
-            Some(conn) => Ok(conn),
-            None => tokio::select! {
-                conn = self.dial(&server, give_up) => conn,
-                Ok(()) = &mut cancel => return Outcome::Moot.into(),
-                () = unwanted(call, write_by) => return Outcome::Moot.into(),
-            },
+        let conn = tokio::select! {
+            biased;
+            conn = self.connection(&server, give_up) => conn,
+            Ok(()) = &mut cancel => return Outcome::Moot.into(),
+            () = unwanted(call, write_by) => return Outcome::Moot.into(),
         };
         let mut conn = match conn {
             Ok(conn) => conn,
@@ -456,6 +511,7 @@
         let length = request.body().size_hint().exact();
         let whole = length.map(|length| conn.wire.written.get() + least_size(&request, length));
         conn.wire.whole_at.set(whole);
+        conn.wire.asked.set(true);
         let progress = call.body.progress();
         let is_written = || {
             whole.map_or_else(
@@ -551,10 +607,7 @@
     /// Asks a backend whether it lives; with `deep` for its load report as well.
     pub async fn probe(self: Rc<Self>, server: Rc<Server>, deep: bool) -> Ended {
         let until = Instant::now() + self.dial_timeout + PROBE_TIMEOUT;
-        let conn = match self.take_idle(&server) {
-            Some(conn) => Ok(conn),
-            None => self.dial(&server, until).await,
-        };
+        let conn = self.connection(&server, until).await;
         let mut conn = match conn {
             Ok(conn) => conn,
             Err(no_conn) => return no_conn.outcome().into(),
@@ -564,6 +617,7 @@
         let call = Call { method: Method::GET, target, headers, body, over };
         let body = ToBackend::Whole(Held::default());
         let request = request(&call, body, &server, PROBE_TIMEOUT);
+        conn.wire.asked.set(true);
         match timeout_at(until, exchange(&mut conn.sender, request)).await {
             Err(_) => Outcome::Timeout.into(),
             Ok(Err(Broken::Spoilt)) => Outcome::Spoilt.into(),
