--- a/tests/proxy/moments.rs
+++ b/tests/proxy/moments.rs
@@ -2,9 +2,9 @@
 
 use crate::rig::*;
 use crate::{ROOM, UP, fill, full_backend};
-use std::io::{BufReader, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
-use std::sync::mpsc::channel;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
 /// A connection that is asked for again and again comes up this long after its queue has room, at the latest.
@@ -45,26 +45,31 @@
 const WINDOW: Duration = Duration::from_millis(600);
 
 /// The window counts from the first attempt that may have run, and ends before the connection of the second comes up.
+/// From then on a refusal, which says that trying again is harmless, would be wrong as well.
 #[test]
 fn a_repeat_of_a_key_is_not_sent_once_backends_may_have_forgotten_it() {
-    let discovery = Discovery::start();
-    let (release, word) = channel();
-    let mut reply = Some(Reply::After(word, Box::new(Reply::WriteAndClose(Vec::new()))));
-    let breaks = Backend::start(move |_| reply.take().expect("asked once"));
-    let late = FullQueue::start();
-    let mut config = config("window", &discovery);
-    config["settings"]["classes"][1]["keyTtlUs"] = (WINDOW.as_micros() as u64).into();
-    let proxy = Proxy::start_with("window", config);
-    discovery.post(true, &[entry("s-1", breaks.address, "active", 0)]);
-    let mut client = proxy.client();
-    client.send(&request("submit", "keyed", "x"));
-    breaks.next();
-    discovery.post(false, &[entry("s-2", late.address, "active", 0)]);
-    release.send(()).expect("the backend waits");
-    // The one span of time that matters here: it is over before the second backend takes a connection.
-    std::thread::sleep(WINDOW);
-    assert_eq!(ids_that_come(late.empty()), [""; 0]);
-    assert_eq!(client.receive().status(), 502, "it may have run, and is not repeated");
+    for group in ["cell", "all"] {
+        let discovery = Discovery::start();
+        let (release, word) = channel();
+        let mut reply = Some(Reply::After(word, Box::new(Reply::WriteAndClose(Vec::new()))));
+        let breaks = Backend::start(move |_| reply.take().expect("asked once"));
+        let late = FullQueue::start();
+        let name = format!("window-{group}");
+        let mut config = config(&name, &discovery);
+        config["settings"]["classes"][1]["keyTtlUs"] = (WINDOW.as_micros() as u64).into();
+        config["settings"]["classes"][1]["group"] = group.into();
+        let proxy = Proxy::start_with(&name, config);
+        discovery.post(true, &[entry("s-1", breaks.address, "active", 0)]);
+        let mut client = proxy.client();
+        client.send(&request("submit", "keyed", "x"));
+        breaks.next();
+        discovery.post(false, &[entry("s-2", late.address, "active", 0)]);
+        release.send(()).expect("the backend waits");
+        // The one span of time that matters here: it is over before the second backend takes a connection.
+        std::thread::sleep(WINDOW);
+        assert_eq!(ids_that_come(late.empty()), [""; 0]);
+        assert_eq!(client.receive().status(), 502, "it may have run, and is not repeated");
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -283,3 +288,56 @@
     // One that fails may stay idle for 2.5 s.
     assert!(began.elapsed() < Duration::from_millis(5_500), "{:?}", began.elapsed());
 }
+
+/// A backend that answers a request once its head has come, and reads on; how much of the body came.
+fn answers_early(early: Vec<u8>, word: Receiver<()>) -> (SocketAddr, Receiver<u64>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (told, came) = channel();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+        let mut line = String::new();
+        while line != "\r\n" {
+            line.clear();
+            reader.read_line(&mut line).expect("a head");
+        }
+        stream.write_all(&early).expect("the proxy reads");
+        word.recv_timeout(PATIENCE).expect("a word");
+        let _ = told.send(std::io::copy(&mut reader, &mut std::io::sink()).unwrap_or_default());
+    });
+    (address, came)
+}
+
+/// Its client has an answer, so the rest of the body must not make it run after all; and nothing that comes ahead of the
+/// whole request can be its answer.
+#[test]
+fn a_request_that_is_answered_ahead_of_its_body_does_not_arrive_whole_later() {
+    const LENGTH: usize = 3 << 20;
+    let large = "x".repeat(100_000);
+    let cases = [
+        (answer("503 Service Unavailable", "X-Unprocessed: 1\r\n", b""), 503),
+        (answer("500 Oops", "", b""), 502),
+        (answer("200 OK", "", b"another's"), 502),
+        (answer("200 OK", "", large.as_bytes()), 502),
+    ];
+    for (i, (early, status)) in cases.into_iter().enumerate() {
+        let discovery = Discovery::start();
+        let (release, word) = channel();
+        let (address, came) = answers_early(early, word);
+        let name = format!("answered-early-{i}");
+        let proxy = Proxy::start(&name, &discovery, &[entry("s-1", address, "active", 0)]);
+        let mut client = proxy.client();
+        let whole = request("charge", "1", &"x".repeat(LENGTH));
+        let (most, last) = whole.split_at(whole.len() - 1_000);
+        client.send(most);
+        assert_eq!(client.receive().status(), status, "case {i}");
+        // Where the proxy has let the request go, nobody reads this.
+        let _ = client.stream.write_all(last.as_bytes());
+        drop(client);
+        release.send(()).expect("the backend waits");
+        let came = came.recv_timeout(PATIENCE).expect("the connection ends");
+        assert!(came < LENGTH as u64, "case {i}: {came} bytes of the body came");
+    }
+}
