Look at the kernel's queue of connections once more before the process ends

Symptom: a process that was told to end and got no core for a while (a machine that stood still, a crowded one) finds two things in one turn when it goes on: the time is over for which it accepts, and a connection waits with a request. It ended, and the request was lost to a reset.

Evidence: over real sockets, SIGTERM, SIGSTOP, a connection with its request, SIGCONT 1.5 s later: reset each time, answered now.

Ruled out: the accept loop at its cap (it runs ahead of the drain when a place falls free; tested before), connections with a request that are open (counted until their last byte was flushed and the end was read).

Lines at fault: `drain` ended at `open() == 0`, polled ahead of the accept loop in each turn.

Change: the listener is asked itself, without the runtime, and what waits there is taken and served; only an empty queue ends the process. A shared listener's queue is left to the heir as before.

Between the lines: a connection that comes between the last look and the exit, a few microseconds, is reset; nothing can hand it on. The time for the end is over as well: it ends, for the platform kills it then. A connection in the queue that is gone already is passed over.

--- a/src/bin/haventrack-proxy.rs
+++ b/src/bin/haventrack-proxy.rs
@@ -100,6 +100,7 @@
         Some(listener) => TcpListener::from_std(listener)?,
         None => listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?,
     };
+    let listener = Rc::new(listener);
     log(format_args!("{} listens on {}", config.name, listener.local_addr()?));
     let balancer = Balancer::new(settings.clone(), config.seed, clock.now())?;
     let (subscribe, subscriptions) = mpsc::unbounded_channel();
@@ -123,33 +124,49 @@
     tokio::task::spawn_local(follow_configuration(reload, discovery, shared));
     let driver = tokio::task::spawn_local(driver.run());
     tokio::task::spawn_local(fleet.sweep());
-    let accepting = tokio::task::spawn_local(Rc::clone(&clients).accept(listener));
+    let accepting = tokio::task::spawn_local(Rc::clone(&clients).accept(Rc::clone(&listener)));
     watcher.start_from(config.known);
     tokio::task::spawn_local(watcher.run());
     tokio::select! {
         ended = driver => Err(format!("the driver ended: {ended:?}").into()),
         _ = stop.recv() => {
+            // What is in the queue of a listener that is shared is for the process that comes after this one.
+            let queue = (!shared).then_some(listener);
             if shared {
-                // What is in the queue is for the process that comes after this one.
                 accepting.abort();
             }
-            drain(&clients, &lifecycle, Duration::from_micros(longest), shared).await;
+            drain(&clients, &lifecycle, Duration::from_micros(longest), queue).await;
             Ok(())
         }
     }
 }
 
-/// Finishes what was taken, and what still comes.
-async fn drain(clients: &Clients, lifecycle: &Lifecycle, longest: Duration, shared: bool) {
+/// Finishes what was taken, and what still comes by the listener, if it is this process's alone.
+async fn drain(
+    clients: &Rc<Clients>,
+    lifecycle: &Lifecycle,
+    longest: Duration,
+    listener: Option<Rc<TcpListener>>,
+) {
     let began = Instant::now();
     let end = began + longest + DRAIN_SLACK;
     lifecycle.stop(End { answers_by: began + longest.min(DEADLINE_COUNTED) + DRAIN_SLACK, ends_at: end });
-    while !shared
+    while listener.is_some()
         && (began.elapsed() < DRAIN_LEAST || (clients.quiet() < DRAIN_QUIET && began.elapsed() < longest))
     {
         sleep(DRAIN_STEP).await;
     }
-    while clients.open() > 0 && timeout_at(end, clients.one_ended()).await.is_ok() {}
+    loop {
+        while clients.open() > 0 {
+            if timeout_at(end, clients.one_ended()).await.is_err() {
+                return;
+            }
+        }
+        // A connection that has come in this very turn would be reset.
+        if !listener.as_ref().is_some_and(|listener| clients.take_waiting(listener)) {
+            return;
+        }
+    }
 }
 
 fn start() -> Result<(), Box<dyn Error>> {
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -24,6 +24,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::hash::Hasher;
+use std::io;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::Duration;
@@ -172,7 +173,7 @@
     }
 
     /// Accepts connections for as long as the proxy runs.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+    pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
         loop {
             // Beyond the cap clients wait in the kernel's queue instead of taking the backends' descriptors.
             // Connections that are held without a request would keep them there: the cheapest to lose goes.
@@ -183,11 +184,7 @@
             }
             self.wants_room.set(false);
             match listener.accept().await {
-                Ok((stream, _)) => {
-                    self.accepted_at.set(Instant::now());
-                    self.open.set(self.open.get() + 1);
-                    tokio::task::spawn_local(Rc::clone(&self).connection(stream));
-                }
+                Ok((stream, _)) => self.take(stream),
                 // Out of descriptors, or a client that is gone already: neither ends the proxy.
                 Err(error) => {
                     log(format_args!("accept: {error}"));
@@ -197,6 +194,26 @@
         }
     }
 
+    fn take(self: &Rc<Self>, stream: TcpStream) {
+        self.accepted_at.set(Instant::now());
+        self.open.set(self.open.get() + 1);
+        tokio::task::spawn_local(Rc::clone(self).connection(stream));
+    }
+
+    /// Takes a connection that waits in the kernel's queue, if one does. The runtime may not have seen it yet, so the
+    /// listener itself is asked.
+    pub fn take_waiting(self: &Rc<Self>, listener: &TcpListener) -> bool {
+        match socket2::SockRef::from(listener).accept() {
+            Ok((socket, _)) => {
+                let stream = socket.set_nonblocking(true).and_then(|()| TcpStream::from_std(socket.into()));
+                stream.into_iter().for_each(|stream| self.take(stream));
+                true
+            }
+            // That one is gone already; others may wait behind it.
+            Err(error) => error.kind() == io::ErrorKind::ConnectionAborted,
+        }
+    }
+
     /// Some connection may be cheaper to lose than before.
     fn look_for_room(&self) {
         if self.wants_room.get() {
--- a/tests/proxy/moments.rs
+++ b/tests/proxy/moments.rs
@@ -201,6 +201,25 @@
     assert_eq!(proxy.wait().code(), Some(0));
 }
 
+/// The process gets no core until the time is over for which connections are accepted in any case, and one waits then.
+#[test]
+fn a_request_that_came_while_the_process_stood_still_is_served_before_it_ends() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("there"));
+    let mut proxy = Proxy::start("halted", &discovery, &[entry("s-1", backend.address, "active", 0)]);
+    proxy.terminate();
+    while proxy.client().ask(UP).status() == 200 {}
+    proxy.halt();
+    let mut client = proxy.client();
+    client.send(&request("charge", "1", "x"));
+    // Nothing tells from outside when that time is over.
+    std::thread::sleep(Duration::from_millis(1_500));
+    proxy.go_on();
+    assert_eq!(client.receive().body, b"there");
+    drop(client);
+    assert_eq!(proxy.wait().code(), Some(0));
+}
+
 /// The platform may kill the process 3.7 s after the signal, however long the deadlines are.
 const KILLED_AFTER: Duration = Duration::from_millis(3_700);
 
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -420,6 +420,15 @@
         self.signal("-TERM");
     }
 
+    /// Halts the process, as a machine without a free core does.
+    pub fn halt(&self) {
+        self.signal("-STOP");
+    }
+
+    pub fn go_on(&self) {
+        self.signal("-CONT");
+    }
+
     /// Replaces the configuration's file and tells the proxy so.
     pub fn reload(&self, config: &str) {
         fs::write(config_path(&self.name), config).expect("the configuration is written");
