Take a watch for silent soon enough for the call that opens it anew to have its turn

Symptom: where discovery is asked, what a silent watch misses counts as told 2 s after its wait. It was taken for silent 1 s after, and the call that opens it anew waits for its turn like any: known 3 s after the wait, 0.7 s beyond a grace of 0.25 s. A call that begins a watch and falls silent was known 0.7 s late as well (5 s and a turn against 6 s).

Evidence: in paused time over real sockets "on_request, behind 1 answers" 700 ms late with a turn of 1.95 s.

Ruled out: standing answers that are late by themselves.

Lines at fault: SILENT_AFTER, FIRST_WAIT and CALL_TIMEOUT, each of whole seconds. The reason for the new ones is the protocol's clocks; the call for the whole list has the same time again, and the constant of its own goes.

Between the lines: the answer comes in the turn in which the watch is given up: the timer wins, the list is asked for again from the version held, and nothing is lost. A discovery that lets calls wait for more than 3 s sees them dropped and made again; none is known.

--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -32,19 +32,16 @@
 const ASKED_WAIT: Duration = Duration::from_secs(20);
 const WAITS_DIFFER: Duration = Duration::from_secs(1);
 const WAITS_DIFFER_MOST: Duration = Duration::from_secs(30);
-/// The wait of a call that begins a watch: it may have to wait for its turn as well.
-const FIRST_WAIT: Duration = Duration::from_secs(1);
+/// The wait of a call that begins a watch: it may have to wait for its turn as well, and what has changed is told at once.
+const FIRST_WAIT: Duration = Duration::from_millis(250);
 /// How long a call that may have to wait for its turn takes in all. Discovery ends those that have waited too long
 /// itself; one that is dropped here still takes its turn there, and so would the next. What a call misses that has
-/// fallen silent counts as told after six seconds.
-const CALL_TIMEOUT: Duration = Duration::from_millis(5_000);
-/// How long a call for the whole list takes in all: it waits for its turn, and for nothing else. Where discovery has
-/// moved, what it has to tell counts as told four seconds after the signal, and a call that has fallen silent has to be
-/// made again and answered by then.
-const LIST_TIMEOUT: Duration = Duration::from_millis(3_500);
-/// How late the answer to a standing watch may be, which waits for no turn. What it misses counts as told two seconds
-/// after its wait, and by then it has to be opened anew and answered.
-const SILENT_AFTER: Duration = Duration::from_secs(1);
+/// fallen silent counts as told after six seconds, and four seconds after the signal what a new discovery has to tell:
+/// by then it has to be made again, and to have had its turn.
+const CALL_TIMEOUT: Duration = Duration::from_millis(3_500);
+/// How late the answer to a standing watch may be, which waits for no turn and was seen to come within a millisecond.
+/// What it misses counts as told two seconds after its wait: most of them are for the turn of the call that opens it anew.
+const SILENT_AFTER: Duration = Duration::from_millis(250);
 /// The golden ratio's fraction spreads the proxies' waits evenly, whatever their number.
 const GOLDEN: f64 = 0.618_033_988_749_894_9;
 /// How long after a failed call an agent is asked again. What it hears at the return of discovery counts as told at
@@ -420,7 +417,7 @@
 
     async fn call(&mut self) -> Result<List, DiscoveryError> {
         let (target, limit) = match self.revision {
-            None => ("/discovery/hosts".to_owned(), LIST_TIMEOUT),
+            None => ("/discovery/hosts".to_owned(), CALL_TIMEOUT),
             Some(after) => {
                 let (wait, limit) = self.patience();
                 (format!("/discovery/hosts?after={after}&wait_ms={}", wait.as_millis()), limit)
