Hold answers that are read late to the end of the process by a test

Read between the lines: an answer of 8 MiB whose client reads nothing until the process was told to end, begun before the signal or behind it. A guess was that the HTTP library reports its connection done with bytes still unflushed where the answer closes it; it does not, and the test passes without a change, so none was made. It is the guard for `serve` and `linger`, which rely on it.

--- a/tests/proxy/moments.rs
+++ b/tests/proxy/moments.rs
@@ -220,6 +220,43 @@
     assert_eq!(proxy.wait().code(), Some(0));
 }
 
+/// Its client reads nothing until the process has been told to end, so most of the answer waits in front of it. It begins
+/// before the signal, or behind it and then closes its connection.
+#[test]
+fn an_answer_that_is_read_late_is_whole_before_the_process_ends() {
+    const LENGTH: usize = 8 << 20;
+    let body: Vec<u8> = (0..LENGTH).map(|i| (i / 7) as u8).collect();
+    for behind in [false, true] {
+        let discovery = Discovery::start();
+        let (release, word) = channel();
+        let mut reply = Some(Reply::After(word, Box::new(Reply::Write(answer("200 OK", "", &body)))));
+        let backend = Backend::start(move |_| reply.take().expect("asked once"));
+        let name = format!("read-late-{behind}");
+        let mut proxy = Proxy::start(&name, &discovery, &[entry("s-1", backend.address, "active", 0)]);
+        let mut client = proxy.client();
+        client.send(&request("charge", "1", "x"));
+        backend.next();
+        let let_begin = || {
+            release.send(()).expect("the backend waits");
+            assert_eq!(client.stream.peek(&mut [0]).expect("it begins"), 1);
+        };
+        if !behind {
+            let_begin();
+        }
+        proxy.terminate();
+        while proxy.client().ask(UP).status() == 200 {}
+        if behind {
+            let_begin();
+        }
+        let got = client.receive();
+        assert_eq!((got.status(), got.header("connection")), (200, behind.then_some("close")));
+        assert!(got.body == body, "{} bytes", got.body.len());
+        assert!(client.ends_cleanly());
+        drop(client);
+        assert_eq!(proxy.wait().code(), Some(0));
+    }
+}
+
 /// The platform may kill the process 3.7 s after the signal, however long the deadlines are.
 const KILLED_AFTER: Duration = Duration::from_millis(3_700);
 
