Serve classes and tenants whatever their names are

Symptom: where a customer has a class called `up`, its requests (`POST /up?key=...`) are taken for the front's call and answered "up": served with something that no backend made. Requests of a tenant whose name has letters beyond ASCII get 400.

Evidence: over real sockets, both; the test fails without the change.

Ruled out: other words of the program's own. Operators call at an address of their own, and nothing else in `src/` names a path of clients; ids and keys stay plain ASCII, as the protocol has them.

Lines at fault: `respond` looked at the path alone; `inbound` read names as ASCII text.

Between the lines: nothing is awaited here.

--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -309,7 +309,7 @@
         let now = Instant::now();
         let late = if number == 1 { line.connected() + REQUEST_TIME } else { now + REQUEST_TIME };
         let pace = Pace { late: late.max(now + BODY_LEAST) };
-        let mut response = if request.uri().path() == "/up" {
+        let mut response = if self.is_check(&request) {
             self.up().map(ToClient::Whole)
         } else {
             // Rule 2: whoever reads the other end of the body takes a part of it for a request.
@@ -335,6 +335,13 @@
         response
     }
 
+    /// Whether the front asks if this proxy serves. A class may have the name of that call; its requests name it.
+    fn is_check(&self, request: &Request<Incoming>) -> bool {
+        let asks_a_class =
+            || self.classes.contains_key("up") && request.headers().contains_key(SERVICE_CLASS);
+        request.uri().path() == "/up" && !asks_a_class()
+    }
+
     fn up(&self) -> Response<Held> {
         if self.lifecycle.is_up() {
             plain(StatusCode::OK, "up\n")
@@ -418,6 +425,8 @@
         let (head, body) = request.into_parts();
         let bad = |why| Rejected::new(StatusCode::BAD_REQUEST, why);
         let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
+        // Customers' own names may have letters beyond ASCII.
+        let named = |name| head.headers.get(name).and_then(|v| std::str::from_utf8(v.as_bytes()).ok());
         if body.size_hint().lower() > PASS_CAP {
             return Err(TOO_LARGE);
         }
@@ -427,7 +436,7 @@
         }
         let in_path = head.uri.path().split('/').nth(1).unwrap_or_default();
         let (class, facts) = self.classes.get(in_path).ok_or(bad("unknown class\n"))?;
-        if head.headers.contains_key(SERVICE_CLASS) && text(SERVICE_CLASS) != Some(in_path) {
+        if head.headers.contains_key(SERVICE_CLASS) && named(SERVICE_CLASS) != Some(in_path) {
             return Err(bad("the class of the header is not that of the path\n"));
         }
         if head.method != facts.method {
@@ -440,7 +449,7 @@
         if text(CORRELATION_ID).is_none_or(str::is_empty) {
             return Err(bad("X-Correlation-Id is missing\n"));
         }
-        let tenant = match text(ACCOUNT) {
+        let tenant = match named(ACCOUNT) {
             _ if self.tenants.is_empty() => 0,
             account => *account.and_then(|a| self.tenants.get(a)).ok_or(bad("unknown account\n"))?,
         };
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -71,6 +71,27 @@
     }
 }
 
+/// Names are the customer's own: one is that of the front's call, another has letters beyond ASCII.
+#[test]
+fn classes_and_tenants_of_any_name_are_served() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("run"));
+    let mut config = config("names", &discovery);
+    config["settings"]["classes"][2]["name"] = "up".into();
+    config["settings"]["tenants"] =
+        json!([{"name": "plain", "allowancePerS": 9.0}, {"name": "Ñañez-Ltda", "allowancePerS": 9.0}]);
+    let proxy = Proxy::start_with("names", config);
+    discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+    let mut client = proxy.client();
+    for (id, account) in [("1", "plain"), ("2", "Ñañez-Ltda")] {
+        let asked = request("up", id, "x");
+        let asked = asked.replace("Host:", &format!("X-Account: {account}\r\nHost:"));
+        assert_eq!(client.ask(&asked).body, b"run", "{account}");
+        assert_eq!(backend.next().first_line(), "POST /up?key=7f3a HTTP/1.1");
+    }
+    assert_eq!(client.ask(UP).body, b"up\n");
+}
+
 #[test]
 fn what_makes_no_sense_gets_a_plain_4xx_and_does_no_harm() {
     let discovery = Discovery::start();
