Break off answers without a length only where they come too slowly

In paused time over real sockets one at 64 kB/s ended as (Timeout, 28672) of 204,800 bytes.

Line at fault: in `pass_on`, what had come by the end of the request's time was compared with 64 KiB alone, which says how late it began.

Change: what comes slower than 32 kB/s, the pace that clients' bodies are held to, counts as without an end, a quarter of a second aside. Drops that never end are broken off as soon as before, at the most a quarter of a second later; an answer may be half a second late.

Between the lines: the time is over before the answer begins (told stays told), while its client takes a piece (what has come is passed on before the backend is waited for again), and in the turn in which the last piece comes (taken first).

--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -3,7 +3,7 @@
 //! A request is written to a connection once and never again by this side: whether it may be repeated is the
 //! module's to say, and it can only say so if it knows whether the last byte went out (`Wire` counts).
 
-use super::bodies::{AnswerBody, CallBody, Gathered, Giver, Held, Passing, ToBackend, next_data};
+use super::bodies::{AnswerBody, CallBody, Gathered, Giver, Held, Pace, Passing, ToBackend, next_data};
 use super::counters::Counters;
 use super::socket::{Socket, Unread};
 use super::{ANSWER_STALL, BODY_CAP, PASS_CAP, connect};
@@ -43,6 +43,8 @@
 const STRAY_COUNTS: Duration = Duration::from_secs(60);
 /// An answer of unknown length begins to be passed on this long after its head, if it is not whole by then.
 const BEGIN_AFTER: Duration = Duration::from_millis(250);
+/// How long an answer that flows may come too slowly at first. An answer may be half a second late.
+const SLOW_FOR: Duration = Duration::from_millis(250);
 /// The largest head of an answer, and what a connection reads ahead: one that does not end must not take
 /// memory until the request's time is up.
 pub(super) const HEAD_CAP: usize = 16 * 1024;
@@ -743,11 +745,11 @@
     })
 }
 
-/// Passes an answer on as fast as its client takes it. Of a usual size the last byte matters: one whose length nobody
-/// knows, and that is no larger when its request's time is over, is taken for one without an end.
+/// Passes an answer on as fast as its client takes it. One whose length nobody knows, that is of a usual size so far and
+/// comes too slowly when its request's time is over, is taken for one without an end.
 async fn pass_on(giver: Giver, rest: Rest, mut cancel: oneshot::Receiver<()>, over: &Over) -> Outcome {
     let Rest { first, mut body, length } = rest;
-    let mut passed = 0;
+    let (mut passed, pace) = (0, Pace { late: Instant::now() + SLOW_FOR });
     for piece in first.into_pieces() {
         passed += piece.len() as u64;
         if giver.give(piece, ANSWER_STALL).await.is_err() {
@@ -755,12 +757,17 @@
         }
     }
     loop {
+        // Where it is waited for, all that has come was passed on, however slowly its client reads.
+        let too_slow = async {
+            over.told().await;
+            sleep_until(pace.late(passed)).await;
+        };
         let data = tokio::select! {
             biased;
             data = timeout(ANSWER_STALL, next_data(&mut body)) => data,
             () = giver.unwanted() => return Outcome::Cancelled,
             Ok(()) = &mut cancel => return Outcome::Cancelled,
-            () = over.told(), if length.is_none() && passed <= BODY_CAP as u64 => return Outcome::Timeout,
+            () = too_slow, if length.is_none() && passed <= BODY_CAP as u64 => return Outcome::Timeout,
         };
         match data {
             Ok(Ok(Some(data))) => {
--- a/src/proxy/bodies.rs
+++ b/src/proxy/bodies.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, Sleep, sleep_until};
 
-/// Whoever sends a body slower than this many bytes a second, beyond the time that any may take, is cut off.
+/// Whoever sends a body or an answer slower than this many bytes a second, beyond the time that any may take, is cut off.
 const SLOWEST: u64 = 32 * 1024;
 
 /// How long a body may take.
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -3,9 +3,10 @@
 
 use bytes::Bytes;
 use haventrack::api::{Outcome, Readiness};
-use haventrack::proxy::backends::{Call, Ends, Fleet, Over};
-use haventrack::proxy::bodies::{AnswerBody, CallBody, Held};
+use haventrack::proxy::backends::{Call, Ends, Fleet, Over, Served};
+use haventrack::proxy::bodies::{AnswerBody, CallBody, Held, ToClient};
 use haventrack::proxy::counters::Counters;
+use http_body_util::BodyExt;
 use hyper::{HeaderMap, Method, Uri};
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,10 +41,28 @@
     }
 }
 
-async fn ask(fleet: &Rc<Fleet>, path: &'static str) -> String {
+fn call(path: &'static str) -> Rc<Call> {
     let (headers, body) = (HeaderMap::new(), CallBody::from(Held::from(Bytes::new())));
     let (method, target) = (Method::GET, Uri::from_static(path));
-    let call = Rc::new(Call { method, target, headers, body, over: Over::default() });
+    Rc::new(Call { method, target, headers, body, over: Over::default() })
+}
+
+/// A fleet of one backend, whose connections are served so.
+async fn fleet<F: Future<Output = ()> + 'static>(serve: impl Fn(TcpStream) -> F + 'static) -> Rc<Fleet> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            spawn_local(serve(stream));
+        }
+    });
+    let fleet = Fleet::new(10, 250_000, 60_000_000, Vec::new(), Counters::new(&[]));
+    fleet.update(BACKEND, address, Readiness::Ready, None);
+    fleet
+}
+
+async fn ask(fleet: &Rc<Fleet>, path: &'static str) -> String {
+    let call = call(path);
     let ends = Ends { give_up: Instant::now() + Duration::from_secs(1), write_by: None };
     let (_keep, cancel) = oneshot::channel();
     let server = fleet.server(BACKEND).expect("it is listed");
@@ -56,15 +75,7 @@
 #[tokio::test(start_paused = true)]
 async fn once_second_answers_were_seen_none_is_taken_for_the_next_requests_own() {
     let test = async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("an address");
-        spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                spawn_local(answers_twice(stream));
-            }
-        });
-        let fleet = Fleet::new(10, 250_000, 60_000_000, Vec::new(), Counters::new(&[]));
-        fleet.update(BACKEND, address, Readiness::Ready, None);
+        let fleet = fleet(answers_twice).await;
         assert_eq!(ask(&fleet, "/first").await, "/first");
         // Nobody asks meanwhile, so the second answer is seen for what it is.
         sleep(2 * LATE).await;
@@ -74,3 +85,65 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Its request's time is over when a part of it has come. How long it takes was never said.
+#[tokio::test(start_paused = true)]
+async fn an_answer_without_a_length_is_cut_off_only_where_it_comes_too_slowly() {
+    const OVER: Duration = Duration::from_millis(400);
+    const AT_MOST: Duration = Duration::from_millis(500);
+    // What comes at a time, and how often; how many microseconds the client takes for a byte.
+    let cases = [(4_096, 62, 50, 0), (1, 20, 100_000, 0), (16_384, 200, 5, 200)];
+    for (size, pause_ms, pieces, slowly) in cases {
+        let test = async {
+            let fleet = fleet(move |mut stream: TcpStream| async move {
+                let mut head = Vec::new();
+                while !head.ends_with(b"\r\n\r\n") {
+                    head.push(stream.read_u8().await.expect("a head"));
+                }
+                let began = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                stream.write_all(began).await.expect("the proxy reads");
+                for _ in 0..pieces {
+                    let piece = format!("{size:x}\r\n{}\r\n", "x".repeat(size));
+                    if stream.write_all(piece.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    sleep(Duration::from_millis(pause_ms)).await;
+                }
+                let _ = stream.write_all(b"0\r\n\r\n").await;
+                sleep(Duration::from_secs(60)).await;
+            })
+            .await;
+            let call = call("/long");
+            let ends = Ends { give_up: Instant::now() + Duration::from_secs(1), write_by: None };
+            let (_keep, cancel) = oneshot::channel();
+            let (told, body) = oneshot::channel();
+            let server = fleet.server(BACKEND).expect("it is listed");
+            let over = Rc::clone(&call);
+            spawn_local(async move {
+                sleep(OVER).await;
+                over.over.tell();
+            });
+            let client = spawn_local(async move {
+                let mut body: ToClient = body.await.expect("it begins");
+                let mut got = 0;
+                while let Some(Ok(frame)) = body.frame().await {
+                    let taken = frame.into_data().expect("data").len();
+                    got += taken;
+                    sleep(Duration::from_micros(taken as u64 * slowly)).await;
+                }
+                got
+            });
+            let begins = |served: Served| assert!(told.send(served.body.into()).is_ok());
+            let began = Instant::now();
+            let ended = fleet.attempt(server, call, ends, cancel, begins).await;
+            (ended.outcome, began.elapsed(), client.await.expect("a client"))
+        };
+        let (outcome, took, got) = LocalSet::new().run_until(test).await;
+        if size == 1 {
+            assert_eq!(outcome, Outcome::Timeout, "nothing tells that it ends");
+            assert!(took <= OVER + AT_MOST, "{took:?}");
+        } else {
+            assert_eq!((outcome, got), (Outcome::Ok, size * pieces), "its backend was still giving");
+        }
+    }
+}
