--- a/src/bin/haventrack-simhost.rs
+++ b/src/bin/tillerproxy-simhost.rs
@@ -1,13 +1,13 @@
 //! Hosts balancers on the simulator's wire: batches on standard input, replies on standard output.
 #![forbid(unsafe_code)]
 
-use haventrack::api::{Action, Backend, Event, Membership, Micros, Settled};
-use haventrack::balancer::Balancer;
-use haventrack::wire::{self, BATCH_HEADER, BatchReader, Record, ReplyWriter, Scope, WireError};
 use std::io::{self, Read, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
 use std::rc::Rc;
+use tillerproxy::api::{Action, Backend, Event, Membership, Micros, Settled};
+use tillerproxy::balancer::Balancer;
+use tillerproxy::wire::{self, BATCH_HEADER, BatchReader, Record, ReplyWriter, Scope, WireError};
 
 /// What ends the host early.
 enum Stop {
--- a/src/bin/haventrack-proxy.rs
+++ b/src/bin/tillerproxy.rs
@@ -1,23 +1,23 @@
 //! One real proxy: start-up, signals, exit code.
 #![forbid(unsafe_code)]
 
-use haventrack::balancer::Balancer;
-use haventrack::proxy::backends::Fleet;
-use haventrack::proxy::clients::Clients;
-use haventrack::proxy::clock::Clock;
-use haventrack::proxy::config::Config;
-use haventrack::proxy::counters::Counters;
-use haventrack::proxy::discovery::{Asked, Translator, Watcher};
-use haventrack::proxy::driver::{Driver, Limits};
-use haventrack::proxy::inherited;
-use haventrack::proxy::lifecycle::{End, Lifecycle};
-use haventrack::proxy::log;
-use haventrack::proxy::operator::Operator;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
+use tillerproxy::balancer::Balancer;
+use tillerproxy::proxy::backends::Fleet;
+use tillerproxy::proxy::clients::Clients;
+use tillerproxy::proxy::clock::Clock;
+use tillerproxy::proxy::config::Config;
+use tillerproxy::proxy::counters::Counters;
+use tillerproxy::proxy::discovery::{Asked, Translator, Watcher};
+use tillerproxy::proxy::driver::{Driver, Limits};
+use tillerproxy::proxy::inherited;
+use tillerproxy::proxy::lifecycle::{End, Lifecycle};
+use tillerproxy::proxy::log;
+use tillerproxy::proxy::operator::Operator;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
@@ -182,7 +182,7 @@
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            log(format_args!("haventrack-proxy: {error}"));
+            log(format_args!("tillerproxy: {error}"));
             ExitCode::FAILURE
         }
     }
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -2,14 +2,14 @@
 //! else can.
 
 use bytes::Bytes;
-use haventrack::api::{Outcome, Readiness};
-use haventrack::proxy::backends::{Call, Ends, Fleet, Over, Served};
-use haventrack::proxy::bodies::{AnswerBody, CallBody, Held, ToClient};
-use haventrack::proxy::counters::Counters;
 use http_body_util::BodyExt;
 use hyper::{HeaderMap, Method, Uri};
 use std::rc::Rc;
 use std::time::Duration;
+use tillerproxy::api::{Outcome, Readiness};
+use tillerproxy::proxy::backends::{Call, Ends, Fleet, Over, Served};
+use tillerproxy::proxy::bodies::{AnswerBody, CallBody, Held, ToClient};
+use tillerproxy::proxy::counters::Counters;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,9 +1,9 @@
 //! A stand-in for the embedding proxy: it keeps timers and attempts, and checks the four rules from outside.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
-use haventrack::api::*;
-use haventrack::balancer::Balancer;
 use std::collections::BTreeMap;
+use tillerproxy::api::*;
+use tillerproxy::balancer::Balancer;
 
 pub const MS: Micros = 1_000;
 pub const SECOND: Micros = 1_000_000;
--- a/tests/host.rs
+++ b/tests/host.rs
@@ -43,7 +43,7 @@
 }
 
 fn run(input: &[u8]) -> Output {
-    let mut host = Command::new(env!("CARGO_BIN_EXE_haventrack-simhost"))
+    let mut host = Command::new(env!("CARGO_BIN_EXE_tillerproxy-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use haventrack::api::*;
-use haventrack::balancer::Balancer;
+use tillerproxy::api::*;
+use tillerproxy::balancer::Balancer;
 
 fn one_zone(n: u32) -> Vec<Backend> {
     (0..n).map(|id| Backend { zone: 0, cell: 0, ..backend(id) }).collect()
@@ -427,7 +427,7 @@
     for (ask_within, balancers, call) in [(4 * SECOND, 300, 5 * SECOND), (SECOND, 3, 2 * SECOND)] {
         for seed in 0..200 {
             let settings = Settings { balancers, discovery_on_request: true, ..settings() };
-            let safety = haventrack::api::Safety { ask_within, ..settings.safety };
+            let safety = tillerproxy::api::Safety { ask_within, ..settings.safety };
             let mut balancer =
                 Balancer::new(Settings { safety, ..settings }, seed, SECOND).expect("good settings");
             for failures in 1..8 {
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -318,7 +318,7 @@
 }
 
 fn config_path(name: &str) -> PathBuf {
-    env::temp_dir().join(format!("haventrack-{}-{name}.json", std::process::id()))
+    env::temp_dir().join(format!("tillerproxy-{}-{name}.json", std::process::id()))
 }
 
 /// Starts the program with this configuration, its standard error at hand.
@@ -330,7 +330,7 @@
 pub fn command(name: &str, config: &str) -> Command {
     let path = config_path(name);
     fs::write(&path, config).expect("the configuration is written");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_haventrack-proxy"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tillerproxy"));
     command.env("EDGE_CONFIG", path).stderr(Stdio::piped());
     command
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use common::*;
-use haventrack::api::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use tillerproxy::api::*;
 
 const OUTCOMES: [Outcome; 7] = [
     Outcome::Ok,
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,8 +1,8 @@
 //! Settings of other customers: all that tells one deployment from another is taken from the configuration.
 
-use haventrack::api::{DedupGroup, Effect};
-use haventrack::proxy::config::Config;
 use serde_json::{Value, json};
+use tillerproxy::api::{DedupGroup, Effect};
+use tillerproxy::proxy::config::Config;
 
 fn config(settings: &Value) -> Value {
     json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -1,19 +1,19 @@
 //! Discovery's watches over loopback sockets in paused time: the module, the driver and the watcher as the program
 //! puts them together, and a stand-in for discovery on the same runtime. Time moves on when nothing else can.
 
-use haventrack::balancer::Balancer;
-use haventrack::proxy::backends::Fleet;
-use haventrack::proxy::clock::Clock;
-use haventrack::proxy::config::Names;
-use haventrack::proxy::counters::Counters;
-use haventrack::proxy::discovery::{Asked, Translator, Watcher};
-use haventrack::proxy::driver::{Driver, Limits};
-use haventrack::proxy::lifecycle::Lifecycle;
-use haventrack::wire::parse_settings;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tillerproxy::balancer::Balancer;
+use tillerproxy::proxy::backends::Fleet;
+use tillerproxy::proxy::clock::Clock;
+use tillerproxy::proxy::config::Names;
+use tillerproxy::proxy::counters::Counters;
+use tillerproxy::proxy::discovery::{Asked, Translator, Watcher};
+use tillerproxy::proxy::driver::{Driver, Limits};
+use tillerproxy::proxy::lifecycle::Lifecycle;
+use tillerproxy::wire::parse_settings;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The wire by bytes: what the codec reads and writes, and what it says of bad input.
 
-use haventrack::api::*;
-use haventrack::wire::{self, BatchReader, Record, ReplyWriter, Scope};
+use tillerproxy::api::*;
+use tillerproxy::wire::{self, BatchReader, Record, ReplyWriter, Scope};
 
 fn hex(text: &str) -> Vec<u8> {
     let digits: Vec<u8> = text.bytes().filter(u8::is_ascii_hexdigit).collect();
