--- /dev/null
+++ b/src/balancer/holding.rs
@@ -0,0 +1,42 @@
+//! Requests that wait briefly for room.
+
+use super::{Balancer, TIMER_HOLD};
+use crate::api::{Action, Micros};
+use crate::state::Open;
+
+/// A request without room waits this part of its time left.
+const HOLD_PART: Micros = 10;
+
+impl Balancer {
+    pub(super) fn hold(&mut self, now: Micros, slot: usize, out: &mut Vec<Action>) {
+        let wait = self.open[slot].deadline.saturating_sub(now) / HOLD_PART;
+        self.kinds.iter_mut().for_each(|s| s.window.filled = true);
+        self.open[slot].held_until = Some(now + wait);
+        self.held.push(slot);
+        out.push(Action::SetTimer { after: wait, token: (slot as u32) << 2 | TIMER_HOLD });
+    }
+
+    pub(super) fn unhold(&mut self, slot: usize) {
+        if self.open[slot].held_until.take().is_some() {
+            self.held.retain(|&s| s != slot);
+        }
+    }
+
+    /// Room may have come free: the held request of the highest worth per work goes first.
+    pub(super) fn serve_held(&mut self, now: Micros, out: &mut Vec<Action>) {
+        while !self.held.is_empty() {
+            let value = |slot: usize| self.value(&self.open[slot]);
+            let Some(best) = self.held.iter().copied().reduce(|a, b| if value(b) > value(a) { b } else { a })
+            else {
+                return;
+            };
+            let Some(server) = self.pick(now, best) else { return };
+            self.send(now, best, server, out);
+        }
+    }
+
+    pub(super) fn value(&self, open: &Open) -> f64 {
+        let share = if open.over_share { self.settings.over_share_worth } else { 1.0 };
+        self.settings.classes[open.class].worth * share / self.mean(open.class)
+    }
+}
--- /dev/null
+++ b/src/balancer/limits.rs
@@ -0,0 +1,130 @@
+//! Concurrency limits: AIMD on windowed latency, per backend and per kind of machine.
+
+use super::attempts::{LATENCY_WEIGHT, SAMPLE_CAP};
+use super::{Balancer, SECOND};
+use crate::api::Micros;
+use crate::state::{Server, Window};
+
+/// The shortest window: limits follow a load that changes within seconds.
+pub(super) const WINDOW: Micros = SECOND / 4;
+/// Samples that a window needs; fewer say too little where work varies as much as its mean.
+const MIN_REQUESTS: u32 = 6;
+/// A window this many times its length without enough samples starts anew.
+const WINDOW_AGE_CAP: Micros = 40;
+/// The factor on a limit whose window was too slow (0.5 to under 1).
+const BACKOFF_RATIO: f64 = 0.7;
+/// Departure: the least step up, as a part of the limit; on a large server 1 would be lost beside a back-off.
+const LARGE_STEP: f64 = 0.15;
+/// A server without a slot and without a judged window for this long takes its kind's limit.
+const UNSAMPLED_AFTER: Micros = 2 * SECOND;
+/// Limits of all proxies together for one server: the first one, the bounds. The start must not starve large
+/// servers; the floor keeps samples coming, so it is a whole slot where a proxy has a server for itself.
+pub(super) const INITIAL_LIMIT: f64 = 1.5;
+const MIN_LIMIT: f64 = 1.0;
+const MAX_LIMIT: f64 = 64.0;
+/// The least and the most of its kind's limit that a report gives a server.
+const LEAST_PART: f64 = 0.1;
+const MOST_PART: f64 = 1.5;
+/// How long a report's part holds.
+const PART_HOLDS: Micros = 5 * SECOND;
+/// How long a server that was slow comes after others of the same room.
+const PACE_HOLDS: Micros = 5 * SECOND;
+
+impl Balancer {
+    /// Departure: a proxy with few slots meets a server once in many seconds, too seldom for windows. Where
+    /// answers tell the server's service time of late, the limit is at once the kind's, scaled by how the
+    /// server compares with its kind: servers that are slower, for whatever cause, get less from all proxies
+    /// alike. The mark fades when the server has given no answer for a while.
+    pub(super) fn follow_report(&mut self, now: Micros, index: usize, report: &[f32]) {
+        let told = self.settings.report.avg_ms.and_then(|i| report.get(i)).map(|&ms| f64::from(ms));
+        let Some(told) = told.filter(|ms| ms.is_finite() && *ms > 0.0) else { return };
+        let share = self.share(&self.servers[index]);
+        let server = &mut self.servers[index];
+        let common = &mut self.kinds[usize::from(server.kind)];
+        let usual = if common.service > 0.0 { common.service } else { told };
+        common.service = usual + (told.min(usual * SAMPLE_CAP) - usual) * LATENCY_WEIGHT;
+        server.part = ((usual / told).clamp(LEAST_PART, MOST_PART), now);
+        if server.probing && common.limit * share < 1.0 {
+            server.limit = common.limit * share * server.part.0;
+        }
+    }
+
+    /// Departure: a limit is also kept for each kind of machine, by the same AIMD on the samples of all its
+    /// servers, and doubling until its first back-off. Servers that gave no sample for a while have this
+    /// limit: each of many proxies holds a slot on few servers, and the limits of the others would freeze.
+    pub(super) fn judge_kind(&mut self, now: Micros, kind: usize, sample: f64) {
+        let common = &mut self.kinds[kind];
+        common.window.add(sample);
+        let age = now - common.window.since;
+        if common.window.count < MIN_REQUESTS || (!common.growing && age < WINDOW) {
+            return;
+        }
+        if common.window.mean() > 1.0 {
+            common.growing = false;
+            common.limit *= BACKOFF_RATIO;
+        } else if common.window.filled {
+            common.limit *= if common.growing { 2.0 } else { 1.0 + LARGE_STEP };
+        }
+        common.limit = common.limit.clamp(MIN_LIMIT, MAX_LIMIT);
+        let limit = common.limit;
+        common.window = Window { since: now, ..Window::default() };
+        for i in 0..self.servers.len() {
+            let share = self.share(&self.servers[i]);
+            let server = &mut self.servers[i];
+            let unsampled = server.probing
+                || (server.slots(self.pool.spread) == 0 && now > server.window.since + UNSAMPLED_AFTER);
+            if unsampled && usize::from(server.kind) == kind {
+                let (part, told_at) = server.part;
+                let told = limit * share < 1.0 && now < told_at + PART_HOLDS;
+                server.limit = limit * share * if told { part } else { 1.0 };
+                server.probing = true;
+            }
+        }
+    }
+
+    /// The AIMD step. Departure: a window stays open until it has enough samples, up to an age cap.
+    pub(super) fn judge_window(&mut self, now: Micros, index: usize, sample: f64) {
+        let share = self.share(&self.servers[index]);
+        let server = &mut self.servers[index];
+        let window = &mut server.window;
+        window.add(sample);
+        let age = now - window.since;
+        if age < WINDOW || (window.count < MIN_REQUESTS && age < WINDOW * WINDOW_AGE_CAP) {
+            return;
+        }
+        if window.count >= MIN_REQUESTS {
+            if window.mean() > 1.0 {
+                server.limit *= BACKOFF_RATIO;
+                server.probing = false;
+            } else if window.filled && !server.probing {
+                server.limit += share.max(server.limit * LARGE_STEP);
+            }
+        }
+        server.limit = server.limit.clamp(MIN_LIMIT * share, MAX_LIMIT * share);
+        server.window = Window { since: now, ..Window::default() };
+    }
+}
+
+impl Server {
+    /// The whole-number limit. Departure: below 1 (many proxies, small servers) the dither decides which
+    /// proxies hold a slot, so that the admitted sum does not grow with their number.
+    pub(super) fn slots(&self, part: f64) -> i64 {
+        (self.limit * part + self.dither).floor() as i64
+    }
+
+    /// The mean of its samples of late; 0 where there are none.
+    pub(super) fn pace(&self, now: Micros) -> f64 {
+        if now < self.pace.1 + PACE_HOLDS { self.pace.0 } else { 0.0 }
+    }
+}
+
+impl Window {
+    pub(super) fn add(&mut self, sample: f64) {
+        self.count += 1;
+        self.sum += sample;
+    }
+
+    pub(super) fn mean(&self) -> f64 {
+        self.sum / f64::from(self.count.max(1))
+    }
+}
--- /dev/null
+++ b/src/balancer/mod.rs
@@ -0,0 +1,130 @@
+//! Every decision of the load balancer. The interface (settings, events, actions) is in `src/api.rs`.
+//!
+//! The ordinary path: each proxy keeps, for every ready server, its requests in flight (IFR) and an AIMD
+//! limit. A request goes where room (limit - IFR) is greatest. When no server has room it is held for a
+//! tenth of its time left, then refused. Departures are marked `Departure:` with the condition under which
+//! they act; `docs/design.md` lists them. The four rules are kept in `scope` and `may_refuse` (effects),
+//! `answer` and `send` (one answer, nothing after it), `ready` (drains) and `ColdBudget` (cold servers).
+
+mod attempts;
+mod cold_start;
+mod connections;
+mod holding;
+mod latency;
+mod limits;
+mod membership;
+mod outliers;
+mod requests;
+mod retries;
+mod selection;
+mod tenants;
+
+use crate::api::{Action, Event, Micros, Settings, SettingsError};
+use crate::state::{Bucket, CommonLimit, Latency, PeakRate, Pool, Requests, Server, Servers, Window};
+use limits::INITIAL_LIMIT;
+use retries::RETRY_BURST;
+
+const SECOND: Micros = 1_000_000;
+/// The golden ratio's fraction spreads the proxies' dithers evenly over 0..1, whatever their number.
+const GOLDEN: f64 = 0.618_033_988_749_894_9;
+/// What a timer is for; the rest of its token is the request's place.
+const TIMER_HOLD: u32 = 0;
+const TIMER_SUBSCRIBE: u32 = 1;
+
+/// The decisions of one proxy.
+pub struct Balancer {
+    settings: Settings,
+    rng: fastrand::Rng,
+    servers: Servers,
+    /// The servers that may be sent to. Rule 3: a draining or gone server is not in here.
+    ready: Vec<usize>,
+    open: Requests,
+    held: Vec<usize>,
+    in_flight: u32,
+    latencies: Vec<Latency>,
+    /// What the servers of each kind of machine take.
+    kinds: Vec<CommonLimit>,
+    tenants: Vec<Bucket>,
+    retry_tokens: f64,
+    /// How long a connection may have rested and is still used, as of a point in time.
+    rest: (f64, Micros),
+    pool: Pool,
+    /// Requests served a second.
+    served: PeakRate,
+    subscribe_failures: u32,
+}
+
+impl Balancer {
+    /// A balancer that knows no backends yet.
+    ///
+    /// # Errors
+    /// The first of the settings that makes no sense.
+    pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Self, SettingsError> {
+        settings.validate()?;
+        let latency =
+            |aim: Micros| Latency { count: 0, mean: aim as f64 / 4.0, base: f64::MAX, base_at: now };
+        let kinds = usize::from(settings.kinds).max(1);
+        let latencies = settings.classes.iter().flat_map(|c| vec![latency(c.aim); kinds]).collect();
+        let window = Window { since: now, ..Window::default() };
+        let common = CommonLimit { limit: INITIAL_LIMIT, growing: true, window, service: 0.0 };
+        let share = f64::from(settings.balancers);
+        let bucket =
+            |t: &crate::api::Tenant| Bucket { tokens: t.allowance_per_s / share, at: now, asked: 0.0 };
+        Ok(Self {
+            rng: fastrand::Rng::with_seed(seed),
+            servers: Servers::default(),
+            ready: Vec::new(),
+            open: Requests::default(),
+            held: Vec::new(),
+            in_flight: 0,
+            latencies,
+            kinds: vec![common; kinds],
+            tenants: settings.tenants.iter().map(bucket).collect(),
+            retry_tokens: RETRY_BURST,
+            rest: (settings.permissions.conn_idle as f64, now),
+            pool: Pool { slots: 0.0, spread: 1.0, most: u32::MAX, judged_at: None },
+            served: PeakRate { count: 0.0, since: now, peak: 0.0 },
+            subscribe_failures: 0,
+            settings,
+        })
+    }
+
+    /// Takes one event and appends what is to be done about it.
+    pub fn handle(&mut self, now: Micros, event: Event<'_>, out: &mut Vec<Action>) {
+        match event {
+            Event::Membership(news) => self.on_membership(now, news, out),
+            Event::Request(request) => self.on_request(now, request, out),
+            Event::Settled(settled) => self.on_settled(now, settled, out),
+            Event::FirstByte { request, attempt, elapsed } => {
+                self.on_first_byte(now, request, attempt, elapsed, out);
+            }
+            Event::ClientGone(request) => {
+                if let Some(slot) = self.open.find(request) {
+                    self.close(slot);
+                }
+            }
+            Event::Probed { .. } => {}
+            Event::Timer(token) => self.on_timer(now, token, out),
+        }
+    }
+
+    /// The listed backends that it avoids now: they drain, were ejected, are silent or turned a request away.
+    #[must_use]
+    pub fn avoided(&self, now: Micros) -> usize {
+        let overdue = (0..self.settings.classes.len()).map(|c| self.overdue(c)).max().unwrap_or_default();
+        let avoids = |s: &Server| {
+            !s.ready || s.ejected_until.is_some() || s.is_silent(now, overdue) || now < s.full_until
+        };
+        (0..self.servers.len()).filter(|&i| self.servers[i].listed && avoids(&self.servers[i])).count()
+    }
+
+    fn on_timer(&mut self, now: Micros, token: u32, out: &mut Vec<Action>) {
+        let slot = (token >> 2) as usize;
+        let held = self.open.get(slot).and_then(|o| o.held_until).is_some_and(|until| until <= now);
+        match token & 3 {
+            TIMER_SUBSCRIBE => out.push(Action::Subscribe),
+            TIMER_HOLD if held => self.expire(now, slot, out),
+            _ => {}
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,4 +1,4 @@
-//! What a balancer remembers: plain data for `balancer.rs`, where everything is decided.
+//! What a balancer remembers: plain data for `balancer/`, where everything is decided.
 
 use crate::api::{BackendId, Micros, RequestId};
 use rustc_hash::FxHashMap;
