--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -858,21 +858,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn backends_that_are_gone_are_forgotten() {
-        let fleet = Fleet::new(10, 1, 1, Vec::new(), Counters::new(&[]));
-        let address = SocketAddr::from(([127, 0, 0, 1], 9));
-        for id in 0..100 {
-            fleet.update(id, address, Readiness::Ready, None);
-            if id % 2 == 0 {
-                fleet.update(id, address, Readiness::Gone, None);
-            } else {
-                fleet.retain(|listed| listed > id);
-            }
-        }
-        assert_eq!(fleet.servers.borrow().len(), 0);
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/proxy/counters/tests.rs
@@ -0,0 +1,51 @@
+use super::*;
+
+fn lines(counters: &Counters) -> Vec<String> {
+    let text = counters.text(4, 1);
+    text.lines().filter(|line| !line.starts_with('#')).map(str::to_owned).collect()
+}
+
+#[test]
+fn every_figure_is_there_from_the_start() {
+    let counters = Counters::new(&["read".into(), "odd\"\\name".into()]);
+    assert_eq!(
+        lines(&counters),
+        [
+            r#"app_handled{category="read",outcome="passed"} 0"#,
+            r#"app_handled{category="read",outcome="dropped"} 0"#,
+            r#"app_handled{category="read",outcome="bad_gateway"} 0"#,
+            r#"app_handled{category="odd\"\\name",outcome="passed"} 0"#,
+            r#"app_handled{category="odd\"\\name",outcome="dropped"} 0"#,
+            r#"app_handled{category="odd\"\\name",outcome="bad_gateway"} 0"#,
+            "app_upstream_tries 0",
+            "app_in_progress 0",
+            "app_known_backends 4",
+            "app_skipped_backends 1",
+        ]
+    );
+    let text = counters.text(0, 0);
+    for name in ["handled", "upstream_tries", "in_progress", "known_backends", "skipped_backends"] {
+        let types = text.lines().filter(|l| l.starts_with(&format!("# TYPE app_{name} "))).count();
+        assert_eq!(types, 1, "{name}");
+    }
+    assert!(text.ends_with('\n'));
+}
+
+#[test]
+fn a_request_counts_once_when_it_ends_and_is_in_progress_until_then() {
+    let counters = Counters::new(&["read".into()]);
+    let figures = || {
+        let all = lines(&counters);
+        let of = |i: usize| all[i].rsplit_once(' ').expect("a value").1.to_owned();
+        [of(0), of(1), of(2), of(4)].map(|n| n.parse::<u64>().expect("a number"))
+    };
+    let tickets: Vec<_> = (0..4).map(|_| counters.take(0)).collect();
+    assert_eq!(figures(), [0, 0, 0, 4]);
+    tickets[0].note(End::Passed);
+    tickets[0].note(End::BadGateway);
+    tickets[1].note(End::Dropped);
+    tickets[2].note(End::Passed);
+    assert_eq!(figures(), [0, 0, 0, 4]);
+    drop(tickets);
+    assert_eq!(figures(), [1, 1, 1, 0], "the client of the fourth had left");
+}
--- /dev/null
+++ b/src/proxy/framing/tests.rs
@@ -0,0 +1,74 @@
+use super::*;
+
+const POST: &str = "POST /submit HTTP/1.1\r\n";
+
+/// Fed at once and byte by byte.
+fn after(text: &str) -> Framing {
+    let (mut whole, mut pieces) = (Framing::new(1_000), Framing::new(1_000));
+    whole.feed(text.as_bytes());
+    text.as_bytes().chunks(1).for_each(|byte| pieces.feed(byte));
+    let seen = |f: &Framing| (f.part, f.heads, f.bad, f.is_between(), f.is_in_head());
+    assert_eq!(seen(&whole), seen(&pieces), "{text}");
+    whole
+}
+
+#[test]
+fn messages_end_where_their_heads_say() {
+    let whole = [
+        "GET /up HTTP/1.1\r\nHost: x\r\n\r\n".to_owned(),
+        "\r\n\r\nGET /up HTTP/1.1\nHost: x\n\n".to_owned(),
+        format!("{POST}Content-Length: 0\r\n\r\n"),
+        format!("{POST}Content-Length: 12\r\n\r\nGET / HTTP\r\n"),
+        format!("{POST}Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+        format!(
+            "{POST}transfer-encoding:Chunked\r\n\r\n5;ext=\"1\"\r\nab\r\nc\r\n1a \r\n{}\r\n0\r\nA: b\r\n\r\n",
+            "x".repeat(26)
+        ),
+    ];
+    for text in &whole {
+        let framing = after(text);
+        assert!(framing.is_between() && framing.heads() == 1 && framing.bad.is_none(), "{text}");
+    }
+    let framing = after(&whole.concat());
+    assert!(framing.is_between() && framing.heads() == 6, "one behind another");
+}
+
+#[test]
+fn what_has_come_of_a_message_shows() {
+    assert!(after("GET /up HTT").is_in_head());
+    assert!(after(&format!("{POST}Content-Length: 3\r\n\r\nab\r")).is_between());
+    for text in ["Content-Length: 3\r\n\r\nab", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc"] {
+        let framing = after(&format!("{POST}{text}"));
+        assert!(!framing.is_between() && !framing.is_in_head() && framing.heads() == 1, "{text}");
+    }
+}
+
+#[test]
+fn a_body_with_two_ends_is_told_by_the_number_of_its_head() {
+    for fields in [
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+        "Content-Length: 3\r\nContent-Length: 3\r\n",
+        "Content-Length: 3\r\nX: y\r\ncontent-length: 4\r\n",
+        "Content-Length: 3, 3\r\n",
+        "Content-Length: +3\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: xchunked\r\n",
+    ] {
+        let framing = after(&format!("{POST}Content-Length: 1\r\n\r\nx{POST}{fields}\r\n0\r\n\r\n{POST}"));
+        assert!(framing.is_ambiguous(2) && !framing.is_ambiguous(1), "{fields}");
+        assert_eq!(framing.heads(), 2, "nothing is read behind it: {fields}");
+    }
+}
+
+#[test]
+fn what_does_not_end_takes_no_memory() {
+    let head = after(&format!("GET /{}", "x".repeat(5_000)));
+    let size = after(&format!("{POST}Transfer-Encoding: chunked\r\n\r\n1;{}", "x".repeat(50_000)));
+    let odd = after(&format!("{POST}Transfer-Encoding: chunked\r\n\r\nxyz\r\n"));
+    for framing in [head, size, odd] {
+        assert_eq!(framing.part, Part::Lost);
+        assert!(framing.begun.capacity() < 20_000);
+    }
+}
