--- a/src/balancer/attempts.rs
+++ b/src/balancer/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::Balancer;
 use crate::api::{Action, Micros, Outcome, RequestId, Settled};
-use crate::state::{Attempt, AttemptState, ColdBudget};
+use crate::state::{Attempt, AttemptState};
 
 /// A bad sample (an error, say), and the most that any sample counts, as multiples of Lmax.
 const BAD_SAMPLE: f64 = 2.0;
@@ -23,14 +23,14 @@
     pub(super) fn send(&mut self, now: Micros, slot: usize, index: usize, out: &mut Vec<Action>) {
         self.unhold(slot);
         let rested = self.connection(now, index, out);
-        let cold = self.servers[index].cold;
-        let tokens = cold.map(|cold| self.cold_tokens(now, &self.servers[index], &cold));
+        self.refill_cold(now, index);
+        let slots = self.slots(index, self.pool.spread);
         let class = self.open[slot].class;
         let overdue = self.overdue(class);
         let due = now + if self.is_quick(class) { overdue } else { self.settings.classes[class].deadline };
         let server = &mut self.servers[index];
-        if let (Some(cold), Some(tokens)) = (server.cold.as_mut(), tokens) {
-            *cold = ColdBudget { tokens: tokens - 1.0, filled_at: now, ..*cold };
+        if let Some(cold) = &mut server.cold {
+            cold.tokens -= 1.0;
             if now >= cold.started.saturating_add(self.settings.safety.cold_time) {
                 server.cold = None;
             }
@@ -43,24 +43,17 @@
         server.due.push(due);
         server.in_flight += 1;
         self.in_flight += 1;
-        server.window.filled |= i64::from(server.in_flight) * 4 >= server.slots(self.pool.spread) * 3;
+        server.window.filled |= i64::from(server.in_flight) * 4 >= slots * 3;
         let (give_up_at, early) = self.give_up_at(now, &self.open[slot]);
         let write_by = self.window_end(&self.open[slot]);
+        let (began, state) = (false, AttemptState::Out);
+        let attempt = Attempt { server: index, sent_at: now, rested, early, due, trial, began, state };
         let open = &mut self.open[slot];
-        let state = AttemptState::Out;
-        open.attempts.push(Attempt {
-            server: index,
-            sent_at: now,
-            rested,
-            early,
-            due,
-            trial,
-            began: false,
-            state,
-        });
+        open.attempts.push(attempt);
         self.servers[index].held += 1;
-        let backend = self.servers[index].id;
-        out.push(Action::Send { request: open.id, backend, give_up_at, write_by });
+        let (request, backend) = (open.id, self.servers[index].id);
+        out.push(Action::Send { request, backend, give_up_at, write_by });
+        self.reindex(now, index);
     }
 
     /// Departure: where an answer flows through, its server's work is done and its latency known when it
@@ -85,6 +78,7 @@
         let (closed, report, spent) = (true, [].as_slice(), false);
         let begun = Settled { request, backend, attempt: number, outcome, closed, elapsed, report, spent };
         self.observe(now, class, to, &begun, out);
+        self.reindex(now, to.server);
         self.serve_held(now, out);
     }
 
@@ -104,6 +98,7 @@
         } else if settled.outcome == Outcome::Ok {
             self.follow_report(now, attempt.server, settled.report);
         }
+        self.reindex(now, attempt.server);
         if settled.closed || self.open[slot].answered {
             self.close(slot);
         } else {
--- a/src/balancer/latency.rs
+++ b/src/balancer/latency.rs
@@ -36,17 +36,6 @@
 }
 
 impl Latency {
-    /// Takes one more latency; the base grows by the part `growth` a second.
-    pub(super) fn add(&mut self, elapsed: f64, now: Micros, weight: f64, growth: f64) {
-        self.count += 1;
-        self.mean += (elapsed - self.mean) * weight.max(1.0 / f64::from(self.count));
-        let drift = 1.0 + growth * (now - self.base_at) as f64 / 1e6;
-        self.base_at = now;
-        if f64::from(self.count) * weight >= 1.0 {
-            self.base = (self.base * drift).min(self.mean);
-        }
-    }
-
     /// The latency above which a limit backs off.
     pub(super) fn lmax(&self, aim: f64) -> f64 {
         (self.base * LMAX_OVER_BASE).min(aim * LMAX_OVER_AIM)
--- a/src/balancer/limits.rs
+++ b/src/balancer/limits.rs
@@ -3,7 +3,7 @@
 use super::attempts::{LATENCY_WEIGHT, SAMPLE_CAP};
 use super::{Balancer, SECOND};
 use crate::api::Micros;
-use crate::state::{Server, Window};
+use crate::state::{LimitSource, Server, Window};
 
 /// The shortest window: limits follow a load that changes within seconds.
 pub(super) const WINDOW: Micros = SECOND / 4;
@@ -28,7 +28,7 @@
 /// How long a report's part holds.
 const PART_HOLDS: Micros = 5 * SECOND;
 /// How long a server that was slow comes after others of the same room.
-const PACE_HOLDS: Micros = 5 * SECOND;
+pub(super) const PACE_HOLDS: Micros = 5 * SECOND;
 
 impl Balancer {
     /// Departure: a proxy with few slots meets a server once in many seconds, too seldom for windows. Where
@@ -38,13 +38,14 @@
     pub(super) fn follow_report(&mut self, now: Micros, index: usize, report: &[f32]) {
         let told = self.settings.report.avg_ms.and_then(|i| report.get(i)).map(|&ms| f64::from(ms));
         let Some(told) = told.filter(|ms| ms.is_finite() && *ms > 0.0) else { return };
-        let share = self.share(&self.servers[index]);
+        let share = self.share(self.servers[index].zone);
         let server = &mut self.servers[index];
         let common = &mut self.kinds[usize::from(server.kind)];
         let usual = if common.service > 0.0 { common.service } else { told };
         common.service = usual + (told.min(usual * SAMPLE_CAP) - usual) * LATENCY_WEIGHT;
         server.part = ((usual / told).clamp(LEAST_PART, MOST_PART), now);
-        if server.probing && common.limit * share < 1.0 {
+        if server.limit_source != LimitSource::Windows && common.limit * share < 1.0 {
+            server.limit_source = LimitSource::Reported;
             server.limit = common.limit * share * server.part.0;
         }
     }
@@ -66,25 +67,51 @@
             common.limit *= if common.growing { 2.0 } else { 1.0 + LARGE_STEP };
         }
         common.limit = common.limit.clamp(MIN_LIMIT, MAX_LIMIT);
-        let limit = common.limit;
         common.window = Window { since: now, ..Window::default() };
-        for i in 0..self.servers.len() {
-            let share = self.share(&self.servers[i]);
-            let server = &mut self.servers[i];
-            let unsampled = server.probing
-                || (server.slots(self.pool.spread) == 0 && now > server.window.since + UNSAMPLED_AFTER);
-            if unsampled && usize::from(server.kind) == kind {
-                let (part, told_at) = server.part;
-                let told = limit * share < 1.0 && now < told_at + PART_HOLDS;
-                server.limit = limit * share * if told { part } else { 1.0 };
-                server.probing = true;
-            }
+        let of_kind = |&index: &usize| usize::from(self.servers[index].kind) == kind;
+        let individual: Vec<usize> = self.index.individual.iter().copied().filter(of_kind).collect();
+        individual.into_iter().for_each(|index| self.follow_kind(now, index));
+    }
+
+    /// Gives a server that has a limit of its own its kind's, where it gave no sample for a while.
+    fn follow_kind(&mut self, now: Micros, index: usize) {
+        let common = self.common_limit(self.servers[index].zone, self.servers[index].kind);
+        let slots = self.slots(index, self.pool.spread);
+        let server = &mut self.servers[index];
+        let sampled = slots > 0 || now <= server.window.since + UNSAMPLED_AFTER;
+        if server.limit_source == LimitSource::Windows && sampled {
+            return;
+        }
+        let (part, reported_at) = server.part;
+        let reported = common < 1.0 && now < reported_at + PART_HOLDS;
+        server.limit_source = if reported { LimitSource::Reported } else { LimitSource::Kind };
+        server.limit = common * part;
+        self.reindex(now, index);
+    }
+
+    /// The limit that a kind's servers in a zone have from this proxy.
+    pub(super) fn common_limit(&self, zone: u16, kind: u8) -> f64 {
+        self.kinds[usize::from(kind)].limit * self.share(zone)
+    }
+
+    pub(super) fn limit(&self, index: usize) -> f64 {
+        let server = &self.servers[index];
+        match server.limit_source {
+            LimitSource::Kind => self.common_limit(server.zone, server.kind),
+            LimitSource::Reported | LimitSource::Windows => server.limit,
         }
     }
 
+    /// The whole-number limit. Departure: below 1 (many proxies, small servers) the dither decides which
+    /// proxies hold a slot, so that the admitted sum does not grow with their number.
+    pub(super) fn slots(&self, index: usize, part: f64) -> i64 {
+        (self.limit(index) * part + self.dither(index)).floor() as i64
+    }
+
     /// The AIMD step. Departure: a window stays open until it has enough samples, up to an age cap.
     pub(super) fn judge_window(&mut self, now: Micros, index: usize, sample: f64) {
-        let share = self.share(&self.servers[index]);
+        let share = self.share(self.servers[index].zone);
+        let limit = self.limit(index);
         let server = &mut self.servers[index];
         let window = &mut server.window;
         window.add(sample);
@@ -94,10 +121,10 @@
         }
         if window.count >= MIN_REQUESTS {
             if window.mean() > 1.0 {
-                server.limit *= BACKOFF_RATIO;
-                server.probing = false;
-            } else if window.filled && !server.probing {
-                server.limit += share.max(server.limit * LARGE_STEP);
+                server.limit = limit * BACKOFF_RATIO;
+                server.limit_source = LimitSource::Windows;
+            } else if window.filled && server.limit_source == LimitSource::Windows {
+                server.limit = limit + share.max(limit * LARGE_STEP);
             }
         }
         server.limit = server.limit.clamp(MIN_LIMIT * share, MAX_LIMIT * share);
@@ -106,25 +133,8 @@
 }
 
 impl Server {
-    /// The whole-number limit. Departure: below 1 (many proxies, small servers) the dither decides which
-    /// proxies hold a slot, so that the admitted sum does not grow with their number.
-    pub(super) fn slots(&self, part: f64) -> i64 {
-        (self.limit * part + self.dither).floor() as i64
-    }
-
     /// The mean of its samples of late; 0 where there are none.
     pub(super) fn pace(&self, now: Micros) -> f64 {
         if now < self.pace.1 + PACE_HOLDS { self.pace.0 } else { 0.0 }
     }
 }
-
-impl Window {
-    pub(super) fn add(&mut self, sample: f64) {
-        self.count += 1;
-        self.sum += sample;
-    }
-
-    pub(super) fn mean(&self) -> f64 {
-        self.sum / f64::from(self.count.max(1))
-    }
-}
--- a/src/balancer/membership.rs
+++ b/src/balancer/membership.rs
@@ -1,8 +1,9 @@
 //! Membership: what discovery says of the backends, and when it is called.
 
-use super::{Balancer, GOLDEN, SECOND, TIMER_SUBSCRIBE};
+use super::{Balancer, SECOND, TIMER_SUBSCRIBE};
 use crate::api::{Action, Backend, Membership, Micros, Readiness};
-use crate::state::{ColdBudget, Server, Window};
+use crate::index::{Change, sync};
+use crate::state::{ColdBudget, LimitSource, Server, Window};
 
 /// All proxies together call discovery this often: when they start, and after calls that failed.
 const FIRST_CALL_EVERY: Micros = SECOND / 50;
@@ -26,31 +27,18 @@
             Membership::Silent => return out.push(Action::Subscribe),
         };
         self.subscribe_failures = 0;
-        if complete {
-            self.servers.unlist_all();
-        }
+        self.generation += u32::from(complete);
+        let mut changed = Vec::new();
         for entry in entries {
-            self.update(now, entry);
+            self.update(now, entry, &mut changed);
         }
-        self.servers.forget_gone();
-        self.ready.clear();
-        self.ready.extend((0..self.servers.len()).filter(|&s| self.servers[s].ready));
-        self.place_dithers();
-        self.serve_held(now, out);
-    }
-
-    /// Spaces a proxy's dithers evenly over the servers of a zone and kind, and the proxies' evenly over each
-    /// server. Drawn by chance for each server they left some proxies without a slot for good.
-    pub(super) fn place_dithers(&mut self) {
-        let (servers, me) = (&mut self.servers, f64::from(self.settings.me));
-        let group = |s: &Server| (s.zone, s.kind);
-        self.ready.sort_unstable_by_key(|&s| (group(&servers[s]), servers[s].id));
-        let groups: Vec<_> = self.ready.chunk_by(|&a, &b| group(&servers[a]) == group(&servers[b])).collect();
-        for alike in groups {
-            for (rank, &s) in alike.iter().enumerate() {
-                servers[s].dither = (rank as f64 / alike.len() as f64 + me * GOLDEN).fract();
-            }
+        if complete {
+            let named = |s: &Server| !s.listed || s.seen == self.generation;
+            let gone: Vec<_> = (0..self.servers.len()).filter(|&i| !named(&self.servers[i])).collect();
+            gone.into_iter().for_each(|index| self.list(index, false, false, &mut changed));
         }
+        self.regroup(now, changed);
+        self.serve_held(now, out);
     }
 
     /// A call failed or the subscription broke: ask again, later each time and not all proxies at once.
@@ -72,58 +60,66 @@
         out.push(if after > 0 { later } else { Action::Subscribe });
     }
 
-    pub(super) fn update(&mut self, now: Micros, entry: &Backend) {
+    /// Takes one entry of a list; a server whose place in the index changes with it is added to `changed`.
+    fn update(&mut self, now: Micros, entry: &Backend, changed: &mut Vec<Change>) {
         let ready = entry.readiness == Readiness::Ready;
         let listed = entry.readiness != Readiness::Gone;
         let index = match self.servers.find(entry.id) {
             Some(index) => index,
             None if !listed => return,
-            None => {
-                let kind = entry.kind.min(self.settings.kinds.saturating_sub(1));
-                let index = self.servers.insert(Server {
-                    id: entry.id,
-                    zone: entry.zone,
-                    kind,
-                    cell: entry.cell,
-                    started: entry.started,
-                    silent_since: now,
-                    part: (1.0, now),
-                    ..Server::default()
-                });
-                self.restarted(now, index);
-                index
-            }
+            None => self.insert(now, entry),
         };
         let server = &mut self.servers[index];
-        (server.listed, server.ready) = (listed, ready);
+        server.seen = self.generation;
         if server.started != entry.started {
             server.started = entry.started;
+            changed.push(Change { place: index, group: server.group, id: entry.id });
             self.restarted(now, index);
         }
+        self.list(index, listed, ready, changed);
+    }
+
+    fn insert(&mut self, now: Micros, entry: &Backend) -> usize {
+        let kind = entry.kind.min(self.settings.kinds.saturating_sub(1));
+        let group = self.index.group_of(entry.zone, kind);
+        let &Backend { id, zone, cell, started, .. } = entry;
+        let server = Server { id, zone, kind, cell, group, started, silent_since: now, ..Server::default() };
+        let index = self.servers.insert(server);
+        self.restarted(now, index);
+        index
+    }
+
+    /// Whether a server is listed and ready from now on; one that is gone is forgotten once nothing names it.
+    fn list(&mut self, index: usize, listed: bool, ready: bool, changed: &mut Vec<Change>) {
+        let server = &mut self.servers[index];
+        if server.ready != ready {
+            changed.push(Change { place: index, group: server.group, id: server.id });
+            sync(self.index.cells.entry(server.cell).or_default(), index, ready);
+        }
+        (server.listed, server.ready) = (listed, ready);
+        self.servers.forget_if_gone(index);
     }
 
     /// A server's process is new: what was known of the old one counts no more.
     pub(super) fn restarted(&mut self, now: Micros, index: usize) {
-        let kind = usize::from(self.servers[index].kind);
-        let limit = self.kinds[kind].limit * self.share(&self.servers[index]);
         let tokens = self.rng.f64();
         let server = &mut self.servers[index];
-        server.limit = limit;
+        server.limit_source = LimitSource::Kind;
+        server.part = (1.0, now);
         server.window = Window { since: now, ..Window::default() };
         server.rested.clear();
         server.failures = 0.0;
         server.ejected_until = None;
         server.strikes = 0;
-        server.probing = true;
         let started = server.started.filter(|&t| now < t.saturating_add(self.settings.safety.cold_time));
-        server.cold = started.map(|started| ColdBudget { started, tokens, filled_at: now });
+        server.cold = started.map(|started| ColdBudget { started, tokens, filled_at: now, rate: 0.0 });
     }
 
-    /// This proxy's part of a server: the inverse of how many proxies use it. Departure: bounds and steps
-    /// of a limit are the server's, not the proxy's, so that the admitted sum does not grow with the bank.
-    pub(super) fn share(&self, server: &Server) -> f64 {
+    /// This proxy's part of a server of a zone: the inverse of how many proxies use it. Departure: bounds
+    /// and steps of a limit are the server's, so that the admitted sum does not grow with the bank.
+    pub(super) fn share(&self, zone: u16) -> f64 {
         let balancers = f64::from(self.settings.balancers);
         let local = (balancers / f64::from(self.settings.zones)).max(1.0);
-        1.0 / if server.zone == self.settings.zone { local } else { balancers }
+        1.0 / if zone == self.settings.zone { local } else { balancers }
     }
 }
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -4,12 +4,13 @@
 //! limit. A request goes where room (limit - IFR) is greatest. When no server has room it is held for a
 //! tenth of its time left, then refused. Departures are marked `Departure:` with the condition under which
 //! they act; `docs/design.md` lists them. The four rules are kept in `scope` and `may_refuse` (effects),
-//! `answer` and `send` (one answer, nothing after it), `ready` (drains) and `ColdBudget` (cold servers).
+//! `answer` and `send` (one answer, nothing after it), `index` (drains) and `ColdBudget` (cold servers).
 
 mod attempts;
 mod cold_start;
 mod connections;
 mod holding;
+mod indexing;
 mod latency;
 mod limits;
 mod membership;
@@ -17,9 +18,9 @@
 mod requests;
 mod retries;
 mod selection;
-mod tenants;
 
 use crate::api::{Action, Event, Micros, Settings, SettingsError};
+use crate::index::ChoiceIndex;
 use crate::state::{Bucket, CommonLimit, Latency, PeakRate, Pool, Requests, Server, Servers, Window};
 use limits::INITIAL_LIMIT;
 use retries::RETRY_BURST;
@@ -37,7 +38,9 @@
     rng: fastrand::Rng,
     servers: Servers,
     /// The servers that may be sent to. Rule 3: a draining or gone server is not in here.
-    ready: Vec<usize>,
+    index: ChoiceIndex,
+    /// Counts the complete lists of servers.
+    generation: u32,
     open: Requests,
     held: Vec<usize>,
     in_flight: u32,
@@ -73,7 +76,8 @@
         Ok(Self {
             rng: fastrand::Rng::with_seed(seed),
             servers: Servers::default(),
-            ready: Vec::new(),
+            index: ChoiceIndex::default(),
+            generation: 0,
             open: Requests::default(),
             held: Vec::new(),
             in_flight: 0,
@@ -91,6 +95,7 @@
 
     /// Takes one event and appends what is to be done about it.
     pub fn handle(&mut self, now: Micros, event: Event<'_>, out: &mut Vec<Action>) {
+        self.recheck_due(now);
         match event {
             Event::Membership(news) => self.on_membership(now, news, out),
             Event::Request(request) => self.on_request(now, request, out),
--- a/src/balancer/outliers.rs
+++ b/src/balancer/outliers.rs
@@ -21,8 +21,7 @@
         trial: bool,
         out: &mut Vec<Action>,
     ) {
-        let ejected = || self.ready.iter().filter(|&&s| self.servers[s].ejected_until.is_some()).count();
-        let may_eject = failed && ejected() < (self.ready.len() as f64 * MAX_EJECTED) as usize;
+        let may_eject = failed && self.index.ejected.len() < (self.index.ready as f64 * MAX_EJECTED) as usize;
         let jitter = 0.75 + self.rng.f64() / 2.0;
         let server = &mut self.servers[index];
         if server.failures < FORGIVE_AT {
--- a/src/balancer/requests.rs
+++ b/src/balancer/requests.rs
@@ -1,4 +1,4 @@
-//! The course of a request from its arrival to its final answer.
+//! The course of a request from its arrival to its final answer, and its tenant's share.
 
 use super::Balancer;
 use super::limits::WINDOW;
@@ -18,18 +18,8 @@
         }
         let class = usize::from(request.class).min(self.settings.classes.len() - 1);
         let over_share = self.over_share(now, usize::from(request.tenant));
-        let open = Open {
-            id: request.id,
-            class,
-            arrived: now,
-            deadline: now + request.patience,
-            over_share,
-            answered: false,
-            streaming: false,
-            spent: false,
-            held_until: None,
-            attempts: Vec::new(),
-        };
+        let deadline = now + request.patience;
+        let open = Open::new(request.id, class, over_share, now, deadline);
         let slot = self.open.insert(open);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_BURST);
         if self.pool.judged_at.is_none_or(|at| now >= at + WINDOW) {
@@ -38,6 +28,22 @@
         self.dispatch(now, slot, out);
     }
 
+    /// Whether a tenant is beyond its share; a request within it takes a token. A proxy knows only its own
+    /// part of the traffic, and that is more than one in `balancers` where others died: a tenant without a
+    /// token is over its share only if it also asks for more of its allowance here than the tenants do on
+    /// the whole.
+    fn over_share(&mut self, now: Micros, tenant: usize) -> bool {
+        let allowance = |tenant: usize| self.settings.tenants[tenant].allowance_per_s;
+        let Some(bucket) = self.tenants.get_mut(tenant) else { return false };
+        let rate = allowance(tenant) / f64::from(self.settings.balancers);
+        if bucket.take(now, rate, rate.max(1.0)) {
+            return false;
+        }
+        let own = bucket.recent(now);
+        let all = self.tenants.iter().map(|b| b.recent(now)).sum::<f64>();
+        own * (0..self.tenants.len()).map(allowance).sum::<f64>() > all * allowance(tenant)
+    }
+
     /// Sends a request where there is room, or holds it, or ends it. Departure: where crossing zones is
     /// priced, other zones are used when the own one has no room.
     pub(super) fn dispatch(&mut self, now: Micros, slot: usize, out: &mut Vec<Action>) {
--- a/src/balancer/selection.rs
+++ b/src/balancer/selection.rs
@@ -2,7 +2,12 @@
 
 use super::{Balancer, GOLDEN};
 use crate::api::{Effect, Micros};
+use crate::index::{Candidates, Group, Ties};
 use crate::state::{Scope, Server};
+use fastrand::Rng;
+
+#[cfg(test)]
+mod tests;
 
 /// Servers that a proxy spreads its requests over, at the least, where its limits add up to fewer slots.
 const MIN_SPREAD: f64 = 3.0;
@@ -16,7 +21,13 @@
     /// slots spread over more servers, and the sum of its limits, with the square root of it for the chance
     /// that requests come together, bounds what it has out in all.
     pub(super) fn judge_pool(&mut self, now: Micros) {
-        let slots = self.ready.iter().map(|&s| self.servers[s].limit).sum::<f64>();
+        let common = |group: &Group| group.members.len() as f64 * self.common_limit(group.zone, group.kind);
+        let beyond = |&index: &usize| {
+            let server = &self.servers[index];
+            self.limit(index) - self.common_limit(server.zone, server.kind)
+        };
+        let slots = self.index.groups.iter().map(common).sum::<f64>();
+        let slots = slots + self.index.individual.iter().map(beyond).sum::<f64>();
         let turn = (f64::from(self.settings.me) * GOLDEN).fract();
         self.pool.judged_at = Some(now);
         self.pool.slots = slots;
@@ -25,83 +36,130 @@
         self.pool.most = most.max(1);
     }
 
-    /// Whether a server can be sent to without a price for the way.
-    pub(super) fn near(&self, server: &Server) -> bool {
-        server.zone == self.settings.zone || self.settings.cross_zone_price <= FREE_CROSSING
+    /// Whether a zone's servers can be sent to without a price for the way.
+    pub(super) fn near(&self, zone: u16) -> bool {
+        zone == self.settings.zone || self.settings.cross_zone_price <= FREE_CROSSING
     }
 
     /// The server with the greatest room, in the own zone first.
     pub(super) fn pick(&mut self, now: Micros, slot: usize) -> Option<usize> {
+        let query = self.query(now, slot)?;
+        let tried: Vec<usize> = self.open[slot].attempts.iter().map(|a| a.server).collect();
+        tried.iter().for_each(|&server| self.index.flag(&self.servers[server], false));
+        let mut rng = self.rng.clone();
+        let best = self.best(now, &query, &tried, &mut rng).and_then(|best| self.index.draw(&best, &mut rng));
+        self.rng = rng;
+        // Departure: a proxy that holds no slot on any server would serve nobody. One request may be out.
+        let idle = self.in_flight == 0;
+        let chosen = best.or_else(|| self.spare(now, &query, &tried).filter(|_| idle));
+        tried.into_iter().for_each(|server| self.reindex(now, server));
+        chosen
+    }
+
+    /// What a request asks of a server; none where nothing may start for it now.
+    fn query(&self, now: Micros, slot: usize) -> Option<Query> {
         let open = &self.open[slot];
         let scope = self.scope(now, open);
         // What is overdue was lost, or its server is barred for it.
         let out = |&s: &usize| self.servers[s].due.iter().filter(|&&due| due >= now).count() as u32;
         let bounded = self.pool.most < u32::MAX;
-        if scope == Scope::Nowhere || bounded && self.ready.iter().map(out).sum::<u32>() >= self.pool.most {
+        let full = bounded && self.index.scanned.iter().map(out).sum::<u32>() >= self.pool.most;
+        if scope == Scope::Nowhere || full {
             return None;
         }
-        // The server with most of its limit left although no whole slot, for a proxy that has nothing out.
-        let mut spare: Option<(f64, usize)> = None;
-        let part = self.pool.spread * if open.over_share { OVER_SHARE_LIMIT } else { 1.0 };
-        let overdue = self.overdue(open.class);
         let repeatable = self.settings.classes[open.class].effect != Effect::Unsafe;
-        let soon_lost = repeatable && self.is_quick(open.class);
-        let mut best: [Option<(i64, usize)>; 2] = [None, None];
-        let mut ties = [0_u32; 2];
-        for i in 0..self.ready.len() {
-            let index = self.ready[i];
-            let server = &self.servers[index];
-            let in_scope = match scope {
-                Scope::Zone(zone) => server.zone == zone,
-                Scope::Cell(cell) => server.cell == cell,
-                Scope::Anywhere | Scope::Nowhere => true,
-            };
-            if !in_scope
-                || self.open[slot].attempts.iter().any(|a| a.server == index)
-                || !self.available(now, server, repeatable, soon_lost, overdue)
-            {
-                continue;
-            }
-            // Departure: a quick attempt that its server passed over was lost on the way; it holds no slot.
-            let taken = i64::from(server.in_flight) - server.passed_over() as i64;
-            let room = if server.is_silent(now, overdue) { 1 } else { server.slots(part) - taken };
-            let left = server.limit * part + server.dither;
-            if self.in_flight == 0 && left > spare.map_or(0.0, |(most, _)| most) {
-                spare = Some((left, index));
-            }
-            let far = usize::from(!self.near(server));
-            // Of the same room, a server that was slow of late comes last: what goes there holds its slot for
-            // long, and its window may take many seconds to fill.
-            let rank = 2 * room + i64::from(server.pace(now) <= 1.0);
-            if room <= 0 || best[far].is_some_and(|(most, _)| rank < most) {
-                continue;
+        Some(Query {
+            scope,
+            repeatable,
+            soon_lost: repeatable && self.is_quick(open.class),
+            overdue: self.overdue(open.class),
+            part: self.pool.spread * if open.over_share { OVER_SHARE_LIMIT } else { 1.0 },
+        })
+    }
+
+    /// The servers of the highest rank, near ones first.
+    fn best(&self, now: Micros, query: &Query, tried: &[usize], rng: &mut Rng) -> Option<Candidates> {
+        let mut near = Ties::default();
+        let mut far = Ties::default();
+        for index in self.compared(query, tried) {
+            let Some(rank) = self.rank(now, query, index) else { continue };
+            let ties = if self.near(self.servers[index].zone) { &mut near } else { &mut far };
+            ties.offer(rank, Candidates::One(index), rng);
+        }
+        for (ties, wanted) in [(&mut near, true), (&mut far, false)] {
+            for (number, group) in self.index.groups.iter().enumerate() {
+                if self.near(group.zone) == wanted
+                    && query.covers(group.zone, None)
+                    && let Some((room, candidates)) = self.group_room(number, query.part)
+                {
+                    ties.offer(rank_of(room, true), candidates, rng);
+                }
             }
-            ties[far] = if best[far].is_some_and(|(most, _)| rank == most) { ties[far] + 1 } else { 1 };
-            if ties[far] == 1 || self.rng.u32(0..ties[far]) == 0 {
-                best[far] = Some((rank, index));
+            if ties.best.is_some() {
+                return ties.best.take();
             }
         }
-        // Departure: a proxy that holds no slot on any server would serve nobody. It may have one request
-        // out.
-        best[0].or(best[1]).map(|(_, server)| server).or(spare.map(|(_, server)| server))
+        None
+    }
+
+    /// The servers that are compared one by one.
+    fn compared(&self, query: &Query, tried: &[usize]) -> impl Iterator<Item = usize> {
+        let servers = match query.scope {
+            Scope::Cell(cell) => self.index.cells.get(&cell),
+            _ => Some(&self.index.scanned),
+        };
+        let in_scope = |server: &Server| query.covers(server.zone, Some(server.cell));
+        let servers = servers.into_iter().flatten().copied().filter(|index| !tried.contains(index));
+        servers.filter(move |&index| in_scope(&self.servers[index]))
+    }
+
+    /// A server's rank if it may have the request. Of the same room, one that was slow of late comes last:
+    /// what goes there holds its slot for long, and its window may take many seconds to fill.
+    fn rank(&self, now: Micros, query: &Query, index: usize) -> Option<i64> {
+        let server = &self.servers[index];
+        if !self.available(now, server, query) {
+            return None;
+        }
+        // Departure: a quick attempt that its server passed over was lost on the way; it holds no slot.
+        let taken = i64::from(server.in_flight) - server.passed_over() as i64;
+        let trial = server.is_silent(now, query.overdue);
+        let room = if trial { 1 } else { self.slots(index, query.part) - taken };
+        (room > 0).then(|| rank_of(room, server.pace(now) <= 1.0))
+    }
+
+    /// The most room that indexed servers of a group have, and those that have it. All have the same limit,
+    /// so those of the highest dithers have a slot more than the others.
+    fn group_room(&self, number: usize, part: f64) -> Option<(i64, Candidates)> {
+        let group = &self.index.groups[number];
+        let limit = self.common_limit(group.zone, group.kind) * part;
+        let (least, more) = (limit.floor(), limit.floor() + 1.0);
+        let expected = (limit - least) * group.members.len() as f64;
+        let highest = group.highest(expected as usize, |rank| limit + self.dither_of(group, rank) >= more);
+        let rooms = [(more as i64, highest), (least as i64, group.runs())];
+        rooms.into_iter().filter(|(room, _)| *room > 0).find_map(|(room, runs)| {
+            let count = group.count(&runs);
+            (count > 0).then_some((room, Candidates::Members(count, number, runs)))
+        })
+    }
+
+    /// The server with most of its limit left although no whole slot, for a proxy that has nothing out.
+    fn spare(&self, now: Micros, query: &Query, tried: &[usize]) -> Option<usize> {
+        let left = |index: usize| self.limit(index) * query.part + self.dither(index);
+        let compared = self.compared(query, tried);
+        let compared = compared.filter(|&index| self.available(now, &self.servers[index], query));
+        let groups = self.index.groups.iter().filter(|group| query.covers(group.zone, None));
+        compared.chain(groups.flat_map(Group::tops)).max_by(|&a, &b| left(a).total_cmp(&left(b)))
     }
 
     /// Whether a server may be chosen at all, apart from its room.
-    pub(super) fn available(
-        &self,
-        now: Micros,
-        server: &Server,
-        repeatable: bool,
-        soon: bool,
-        overdue: Micros,
-    ) -> bool {
+    fn available(&self, now: Micros, server: &Server, query: &Query) -> bool {
         if let Some(until) = server.ejected_until {
             // Departure: an ejected server gets one trial, of a request that can be repeated.
-            return now >= until && !server.trial_out && repeatable;
+            return now >= until && !server.trial_out && query.repeatable;
         }
         // Departure: a server that owes answers and has been silent for long may hang: nothing more goes
         // there. Where what it owes may have been lost on the way, it gets one trial that is given up soon.
-        if server.is_silent(now, overdue) && (server.trial_out || !soon) {
+        if server.is_silent(now, query.overdue) && (server.trial_out || !query.soon_lost) {
             return false;
         }
         // Departure: a server that turns requests away answers at once and so looks the emptiest of all. It
@@ -109,6 +167,33 @@
         if now < server.full_until {
             return false;
         }
-        server.cold.as_ref().is_none_or(|cold| self.cold_tokens(now, server, cold) >= 1.0)
+        server.cold.as_ref().is_none_or(|cold| cold.available(now) >= 1.0)
+    }
+}
+
+/// What a request asks of a server.
+struct Query {
+    scope: Scope,
+    repeatable: bool,
+    /// An attempt that was lost would be given up soon.
+    soon_lost: bool,
+    overdue: Micros,
+    /// The factor on limits.
+    part: f64,
+}
+
+impl Query {
+    /// Whether servers of a zone, and of a cell where it is known, are in scope.
+    fn covers(&self, zone: u16, cell: Option<u16>) -> bool {
+        match self.scope {
+            Scope::Zone(only) => zone == only,
+            Scope::Cell(only) => cell == Some(only),
+            Scope::Anywhere | Scope::Nowhere => true,
+        }
     }
 }
+
+/// How a server compares with others, from its room and whether it was quick of late.
+fn rank_of(room: i64, quick: bool) -> i64 {
+    2 * room + i64::from(quick)
+}
--- /dev/null
+++ b/src/balancer/selection/tests.rs
@@ -0,0 +1,320 @@
+//! The indexed choice beside a plain scan of every backend, on random events.
+
+use super::*;
+use crate::api::{
+    Action, Backend, Class, DedupGroup, Event, Membership, Outcome, Permissions, Readiness, ReportFields,
+    Request, RequestId, Safety, Settings, Settled,
+};
+use crate::state::{Attempt, AttemptState, Open};
+use std::collections::BTreeSet;
+
+const MS: Micros = 1_000;
+const SECOND: Micros = 1_000_000;
+
+/// What a scan finds: the servers that tie for the choice, or those of which an idle proxy may use one without a slot.
+#[derive(Debug, PartialEq)]
+enum Found {
+    Ties(BTreeSet<usize>),
+    Spare(BTreeSet<usize>),
+    Nothing,
+}
+
+/// The choice as the design states it, with a look at every server.
+fn scan(balancer: &Balancer, now: Micros, slot: usize) -> Found {
+    let Some(query) = balancer.query(now, slot) else { return Found::Nothing };
+    let tried: Vec<usize> = balancer.open[slot].attempts.iter().map(|a| a.server).collect();
+    let eligible: Vec<usize> = (0..balancer.servers.len())
+        .filter(|&i| balancer.servers[i].ready && !tried.contains(&i))
+        .filter(|&i| query.covers(balancer.servers[i].zone, Some(balancer.servers[i].cell)))
+        .filter(|&i| balancer.available(now, &balancer.servers[i], &query))
+        .collect();
+    for near in [true, false] {
+        let ranks =
+            eligible.iter().filter(|&&i| balancer.near(balancer.servers[i].zone) == near).filter_map(|&i| {
+                let server = &balancer.servers[i];
+                let taken = i64::from(server.in_flight) - server.passed_over() as i64;
+                let trial = server.is_silent(now, query.overdue);
+                let room = if trial { 1 } else { balancer.slots(i, query.part) - taken };
+                (room > 0).then_some((2 * room + i64::from(server.pace(now) <= 1.0), i))
+            });
+        let ranks: Vec<(i64, usize)> = ranks.collect();
+        if let Some(&(most, _)) = ranks.iter().max() {
+            return Found::Ties(
+                ranks.into_iter().filter(|&(rank, _)| rank == most).map(|(_, i)| i).collect(),
+            );
+        }
+    }
+    let left = |i: usize| balancer.limit(i) * query.part + balancer.dither(i);
+    let most = eligible.iter().map(|&i| left(i)).max_by(f64::total_cmp);
+    match most {
+        Some(most) if balancer.in_flight == 0 => {
+            Found::Spare(eligible.into_iter().filter(|&i| left(i) == most).collect())
+        }
+        _ => Found::Nothing,
+    }
+}
+
+/// The servers that the indexed choice takes in so many draws that each of those that tie is most likely among them.
+fn indexed(balancer: &mut Balancer, now: Micros, slot: usize, ties: usize) -> BTreeSet<usize> {
+    let draws = ties * (12 + ties.max(1).ilog2() as usize);
+    (0..draws).filter_map(|_| balancer.pick(now, slot)).collect()
+}
+
+/// Compares the choice with a scan; tells how many servers tied.
+fn compare(balancer: &mut Balancer, now: Micros, slot: usize) -> Result<usize, (Found, BTreeSet<usize>)> {
+    let expected = scan(balancer, now, slot);
+    let ties = if let Found::Ties(ties) = &expected { ties.len() } else { 1 };
+    let found = indexed(balancer, now, slot, ties);
+    let agree = match &expected {
+        Found::Ties(ties) => found == *ties,
+        // No draw: any of those with the same limit left will do.
+        Found::Spare(equal) => found.len() == 1 && found.is_subset(equal),
+        Found::Nothing => found.is_empty(),
+    };
+    if agree { Ok(ties) } else { Err((expected, found)) }
+}
+
+fn settings(rng: &mut Rng) -> Settings {
+    let class = |effect, aim: Micros| Class {
+        aim,
+        aim_stretch: 0.0,
+        deadline: 4 * aim,
+        worth: 1.0,
+        late_worth: 0.0,
+        effect,
+    };
+    let keyed = |group| Effect::Keyed { group, ttl: 3 * SECOND };
+    let classes = vec![
+        class(Effect::Safe, 500 * MS),
+        class(Effect::Unsafe, 300 * MS),
+        class(keyed(DedupGroup::Zone), 400 * MS),
+        class(keyed(DedupGroup::Cell), 2_000 * MS),
+        class(keyed(DedupGroup::All), 400 * MS),
+    ];
+    let balancers = [1, 3, 30, 300][rng.usize(0..4)];
+    Settings {
+        me: rng.u32(0..balancers),
+        balancers,
+        zone: 0,
+        zones: 3,
+        kinds: 2,
+        discovery_on_request: false,
+        warm_keys: false,
+        classes,
+        tenants: Vec::new(),
+        over_share_worth: 0.1,
+        cross_zone_price: [0.0, 0.05][rng.usize(0..2)],
+        probe_price: 0.0,
+        report: ReportFields { avg_ms: rng.bool().then_some(0), ..ReportFields::default() },
+        report_by_probe: false,
+        permissions: Permissions {
+            max_attempts: 3,
+            second_copies: false,
+            cancel: false,
+            probes: false,
+            conn_idle: 5 * SECOND,
+            multiplex: 1,
+            retry_after: None,
+        },
+        safety: Safety {
+            ask_within: SECOND,
+            cold_from: 0.2,
+            cold_time: 4 * SECOND,
+            fall_multiple: 2.5,
+            fall_time: SECOND,
+        },
+    }
+}
+
+/// A balancer under random events.
+struct Play {
+    rng: Rng,
+    balancer: Balancer,
+    now: Micros,
+    servers: u32,
+    next: RequestId,
+    out: Vec<(RequestId, u16, u32, Micros)>,
+    sent: Vec<(RequestId, u16)>,
+}
+
+impl Play {
+    fn new(seed: u64) -> Self {
+        let mut rng = Rng::with_seed(seed);
+        let settings = settings(&mut rng);
+        let balancer = Balancer::new(settings, seed, SECOND).expect("good settings");
+        let servers = [4, 30, 200][rng.usize(0..3)];
+        let mut play =
+            Self { rng, balancer, now: SECOND, servers, next: 0, out: Vec::new(), sent: Vec::new() };
+        let list: Vec<Backend> = (0..servers).map(|id| play.backend(id)).collect();
+        play.event(Event::Membership(Membership::Full(&list)));
+        play
+    }
+
+    fn backend(&mut self, id: u32) -> Backend {
+        let readiness = match self.rng.u8(0..8) {
+            0 => Readiness::Draining,
+            1 => Readiness::Gone,
+            _ => Readiness::Ready,
+        };
+        let started = (self.rng.u8(0..4) == 0).then(|| self.now - self.rng.u64(0..SECOND));
+        Backend {
+            id,
+            zone: (id % 3) as u16,
+            kind: (id / 3 % 2) as u8,
+            cell: (id % 7) as u16,
+            readiness,
+            started,
+        }
+    }
+
+    fn event(&mut self, event: Event<'_>) {
+        let mut actions = Vec::new();
+        self.balancer.handle(self.now, event, &mut actions);
+        for action in actions {
+            if let Action::Send { request, backend, .. } = action {
+                let number = self.sent.iter().filter(|&&(sent, _)| sent == request).count() as u16;
+                self.sent.push((request, number));
+                self.out.push((request, number, backend, self.now));
+            }
+        }
+    }
+
+    fn change_list(&mut self) {
+        let whole = self.rng.u8(0..6) == 0;
+        let count = if whole { self.servers } else { 1 + self.rng.u32(0..self.servers / 3) };
+        let ids: Vec<u32> =
+            (0..count).map(|i| if whole { i } else { self.rng.u32(0..self.servers) }).collect();
+        let list: Vec<Backend> = ids.into_iter().map(|id| self.backend(id)).collect();
+        let news = if whole { Membership::Full(&list) } else { Membership::Delta(&list) };
+        self.event(Event::Membership(news));
+    }
+
+    fn end_one(&mut self) {
+        if self.out.is_empty() {
+            return;
+        }
+        let (request, attempt, backend, sent_at) = self.out.swap_remove(self.rng.usize(0..self.out.len()));
+        let outcome = match self.rng.u8(0..14) {
+            0 => Outcome::Error,
+            1 => Outcome::Full,
+            2 => Outcome::Timeout,
+            3 => Outcome::ConnectFailed,
+            4 => Outcome::Reset,
+            5 => Outcome::Spoilt,
+            _ => Outcome::Ok,
+        };
+        let report = [self.rng.f32() * 100.0];
+        let elapsed = self.now - sent_at;
+        let closed = outcome == Outcome::Ok;
+        let settled =
+            Settled { request, backend, attempt, outcome, closed, elapsed, report: &report, spent: false };
+        self.event(Event::Settled(settled));
+    }
+
+    fn step(&mut self) {
+        self.now += self.rng.u64(0..60) * self.rng.u64(0..2 * MS);
+        match self.rng.u8(0..40) {
+            0 => self.change_list(),
+            1 => self.now += self.rng.u64(0..8 * SECOND),
+            2..18 => {
+                self.next += 1;
+                let class = self.rng.u8(0..5);
+                let request = Request {
+                    id: self.next,
+                    class,
+                    tenant: 0,
+                    key: None,
+                    patience: 2 * SECOND,
+                    work: None,
+                    repeat: false,
+                };
+                self.event(Event::Request(request));
+            }
+            _ => self.end_one(),
+        }
+    }
+
+    /// A request that has failed up to twice, of any class, for which a choice is due.
+    fn open_request(&mut self) -> usize {
+        let class = self.rng.usize(0..5);
+        let tried = (0..self.rng.usize(0..3)).map(|_| self.rng.usize(0..self.balancer.servers.len()));
+        let tried: BTreeSet<usize> = tried.collect();
+        let mut attempt = |server| Attempt {
+            server,
+            sent_at: self.now,
+            rested: 0,
+            early: false,
+            due: self.now,
+            trial: false,
+            began: false,
+            state: if self.rng.bool() { AttemptState::NeverRan } else { AttemptState::MayHaveRun },
+        };
+        let attempts = tried.into_iter().map(&mut attempt).collect();
+        let over_share = self.rng.u8(0..4) == 0;
+        let slot = self.balancer.open.insert(Open {
+            id: RequestId::MAX,
+            class,
+            arrived: self.now,
+            deadline: self.now + SECOND,
+            over_share,
+            answered: false,
+            streaming: false,
+            spent: false,
+            held_until: None,
+            attempts: Vec::new(),
+        });
+        self.balancer.open[slot].attempts = attempts;
+        slot
+    }
+}
+
+#[test]
+fn the_indexed_choice_draws_from_the_servers_that_a_plain_scan_finds() {
+    let mut compared = 0;
+    let mut ties = 0;
+    for seed in 0..60 {
+        let mut play = Play::new(seed);
+        for step in 0..400 {
+            play.step();
+            if step % 4 > 0 {
+                continue;
+            }
+            let now = play.now;
+            play.balancer.recheck_due(now);
+            let slot = play.open_request();
+            let tied = compare(&mut play.balancer, now, slot).unwrap_or_else(|(scan, index)| {
+                panic!("seed {seed}, step {step}: {scan:?}, indexed {index:?}")
+            });
+            compared += 1;
+            ties += usize::from(tied > 1);
+            play.balancer.open.release(slot);
+        }
+    }
+    assert!(compared == 6_000 && ties > 1_000, "{ties} of {compared} with a draw");
+}
+
+#[test]
+fn servers_that_tie_are_drawn_equally_often() {
+    const DRAWS: usize = 400;
+    let mut play = Play::new(11);
+    let mut judged = 0;
+    for _ in 0..300 {
+        play.step();
+        let now = play.now;
+        play.balancer.recheck_due(now);
+        let slot = play.open_request();
+        if let Found::Ties(ties) = scan(&play.balancer, now, slot) {
+            let mut drawn: Vec<usize> =
+                (0..DRAWS * ties.len()).filter_map(|_| play.balancer.pick(now, slot)).collect();
+            drawn.sort_unstable();
+            for alike in drawn.chunk_by(|a, b| a == b) {
+                // Six standard deviations of a count with this mean.
+                let off = alike.len().abs_diff(DRAWS);
+                assert!(off * off <= 36 * DRAWS, "{} of {DRAWS} draws among {}", alike.len(), ties.len());
+            }
+            judged += 1;
+        }
+        play.balancer.open.release(slot);
+    }
+    assert!(judged > 50, "{judged} choices were judged");
+}
--- /dev/null
+++ b/src/index/tests.rs
@@ -0,0 +1,128 @@
+use super::*;
+use std::collections::BTreeMap;
+
+/// A ranked set beside a plain ordered map that has to hold the same.
+#[derive(Default)]
+struct Pair {
+    set: RankedSet,
+    plain: BTreeMap<BackendId, (usize, bool)>,
+}
+
+impl Pair {
+    fn apply(&mut self, batch: Vec<(BackendId, Option<usize>)>) {
+        for &(id, place) in &batch {
+            match place {
+                Some(place) => self.plain.entry(id).or_insert((place, false)).0 = place,
+                None => drop(self.plain.remove(&id)),
+            }
+        }
+        self.set.apply(batch);
+    }
+
+    fn flag(&mut self, id: BackendId, flag: bool) {
+        if let Some(rank) = self.set.rank(id) {
+            self.set.set_flag(rank, flag);
+        }
+        if let Some((_, held)) = self.plain.get_mut(&id) {
+            *held = flag;
+        }
+    }
+
+    fn check(&self, ranks: Range<usize>) {
+        let members: Vec<_> = self.plain.iter().map(|(&id, &(place, flag))| (id, place, flag)).collect();
+        assert_eq!(self.set.len(), members.len());
+        for (rank, &(id, place, flag)) in members.iter().enumerate() {
+            assert_eq!(self.set.rank(id), Some(rank));
+            assert_eq!((self.set.place(rank), self.set.flag(rank)), (place, flag), "rank {rank}");
+        }
+        let flagged: Vec<usize> = ranks.clone().filter(|&rank| members[rank].2).collect();
+        assert_eq!(self.set.count(ranks.clone()), flagged.len(), "{ranks:?} of {}", members.len());
+        for nth in 0..=flagged.len() {
+            assert_eq!(self.set.select(ranks.clone(), nth), flagged.get(nth).copied(), "{ranks:?}, {nth}");
+        }
+    }
+}
+
+#[test]
+fn a_ranked_set_holds_what_a_plain_ordered_map_holds() {
+    for seed in 0..40 {
+        let mut rng = Rng::with_seed(seed);
+        let mut pair = Pair::default();
+        for _ in 0..60 {
+            let size = if rng.u8(0..4) == 0 { rng.usize(0..120) } else { rng.usize(0..4) };
+            let mut ids: Vec<BackendId> = (0..size).map(|_| rng.u32(0..300)).collect();
+            ids.sort_unstable();
+            ids.dedup();
+            rng.shuffle(&mut ids);
+            let change = |id| (id, (rng.u8(0..5) < 3).then(|| rng.usize(0..1_000)));
+            pair.apply(ids.into_iter().map(change).collect());
+            for _ in 0..20 {
+                pair.flag(rng.u32(0..300), rng.bool());
+            }
+            let start = rng.usize(0..=pair.plain.len());
+            let end = rng.usize(start..=pair.plain.len());
+            pair.check(start..end);
+        }
+    }
+}
+
+fn ready(id: BackendId, group: usize) -> Server {
+    Server { id, group, ready: true, listed: true, ..Server::default() }
+}
+
+fn change(place: usize, group: usize, id: BackendId) -> Change {
+    Change { place, group, id }
+}
+
+#[test]
+fn groups_name_their_members_once_and_count_all_that_are_ready() {
+    let mut index = ChoiceIndex::default();
+    let mut servers = Servers::default();
+    let (own, other) = (index.group_of(0, 0), index.group_of(1, 0));
+    assert_eq!(index.group_of(0, 0), own);
+    let places = [(5, own), (3, own), (4, other)].map(|(id, group)| servers.insert(ready(id, group)));
+    let came = |n: usize, group, id| change(places[n], group, id);
+    let all = vec![came(0, own, 5), came(1, own, 3), came(2, other, 4), came(0, own, 5)];
+    index.apply(all, &servers, |rank, members| rank as f64 / members as f64);
+    assert_eq!((index.ready, index.groups[own].members.len()), (3, 2));
+    servers[places[0]].ready = false;
+    index.apply(vec![came(0, own, 5)], &servers, |rank, members| rank as f64 / members as f64);
+    assert_eq!((index.ready, index.groups[own].version, index.groups[other].version), (2, 2, 1));
+}
+
+#[test]
+fn the_members_of_the_highest_offsets_are_found_from_any_guess() {
+    for members in [0, 1, 2, 7, 64, 65] {
+        for shift in [0.0, 0.3, 5.99] {
+            let mut index = ChoiceIndex::default();
+            let mut servers = Servers::default();
+            let group = index.group_of(0, 0);
+            let batch = (0..members).map(|id| change(servers.insert(ready(id, group)), group, id)).collect();
+            let turns = |rank: usize, members: usize| rank as f64 / members as f64 + shift;
+            index.apply(batch, &servers, turns);
+            let offset = |rank: usize| turns(rank, members as usize).fract();
+            for (least, guess) in [(0.0, 0), (0.2, 3), (0.5, 99), (0.97, 1), (2.0, 5)] {
+                let found = index.groups[group].highest(guess, |rank| offset(rank) >= least);
+                let mut found: Vec<usize> = found.into_iter().flatten().collect();
+                found.sort_unstable();
+                let expected: Vec<usize> =
+                    (0..members as usize).filter(|&rank| offset(rank) >= least).collect();
+                assert_eq!(found, expected, "{members} members, shifted by {shift}, at least {least}");
+            }
+        }
+    }
+}
+
+#[test]
+fn rechecks_come_in_the_order_of_their_times_and_not_before() {
+    let mut index = ChoiceIndex::default();
+    let mut servers = Servers::default();
+    index.group_of(0, 0);
+    let places = [0, 1, 2].map(|id| servers.insert(ready(id, 0)));
+    for (at, place) in [(30, places[0]), (10, places[1]), (20, places[2])] {
+        index.set(place, &mut servers[place], Position::Barred, Some(at));
+    }
+    assert_eq!(index.next_due(9, &mut servers), None);
+    let due = [20, 20, 20].map(|now| index.next_due(now, &mut servers));
+    assert_eq!(due, [Some(places[1]), Some(places[2]), None]);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -13,6 +13,17 @@
     pub(crate) filled: bool,
 }
 
+impl Window {
+    pub(crate) fn add(&mut self, sample: f64) {
+        self.count += 1;
+        self.sum += sample;
+    }
+
+    pub(crate) fn mean(&self) -> f64 {
+        self.sum / f64::from(self.count.max(1))
+    }
+}
+
 /// What this proxy may send a cold server: one token a send.
 ///
 /// Rule 4: every proxy finds the empty newcomer the roomiest at once. Each takes only its own share of what
@@ -22,6 +33,20 @@
     pub(crate) started: Micros,
     pub(crate) tokens: f64,
     pub(crate) filled_at: Micros,
+    /// Tokens a second since then.
+    pub(crate) rate: f64,
+}
+
+/// Where a server's limit comes from.
+#[derive(Clone, Copy, Default, PartialEq)]
+pub(crate) enum LimitSource {
+    /// The limit of its kind; its own windows have not been judged of late.
+    #[default]
+    Kind,
+    /// The limit of its kind, scaled by the load that it reported.
+    Reported,
+    /// Its own windows.
+    Windows,
 }
 
 #[derive(Default)]
@@ -41,10 +66,17 @@
     pub(crate) due: Vec<Micros>,
     /// The latest send that it has answered.
     pub(crate) answered: Micros,
+    pub(crate) limit_source: LimitSource,
+    /// The limit of its own, where it has one.
     pub(crate) limit: f64,
+    /// Its group in the index, the dither that its rank there gives it, and the version of the group that this is of.
+    pub(crate) group: usize,
     pub(crate) dither: f64,
-    /// The limit is its kind's; its own windows have not been judged.
-    pub(crate) probing: bool,
+    pub(crate) dither_version: u32,
+    /// The last complete list that named it.
+    pub(crate) seen: u32,
+    /// When its position in the index is worked out again.
+    pub(crate) recheck_at: Option<Micros>,
     /// The part of its kind's limit that its last report gave it, and when.
     pub(crate) part: (f64, Micros),
     pub(crate) window: Window,
@@ -115,22 +147,14 @@
         self.places.len()
     }
 
-    pub(crate) fn unlist_all(&mut self) {
-        self.places.iter_mut().for_each(|s| (s.listed, s.ready) = (false, false));
-    }
-
     /// An open request ends and names the place no longer.
     pub(crate) fn let_go(&mut self, place: usize) {
         self.places[place].held -= 1;
         self.forget_if_gone(place);
     }
 
-    /// The list has changed.
-    pub(crate) fn forget_gone(&mut self) {
-        (0..self.places.len()).for_each(|place| self.forget_if_gone(place));
-    }
-
-    fn forget_if_gone(&mut self, place: usize) {
+    /// Frees the place of a server that is not listed and that no open request names.
+    pub(crate) fn forget_if_gone(&mut self, place: usize) {
         let server = &self.places[place];
         if !server.listed && server.held == 0 && self.find(server.id) == Some(place) {
             self.by_id.remove(&server.id);
@@ -194,6 +218,27 @@
 }
 
 impl Open {
+    pub(crate) fn new(
+        id: RequestId,
+        class: usize,
+        over_share: bool,
+        arrived: Micros,
+        deadline: Micros,
+    ) -> Self {
+        Self {
+            id,
+            class,
+            arrived,
+            deadline,
+            over_share,
+            answered: false,
+            streaming: false,
+            spent: false,
+            held_until: None,
+            attempts: Vec::new(),
+        }
+    }
+
     pub(crate) fn out(&self) -> usize {
         self.attempts.iter().filter(|a| a.state == AttemptState::Out).count()
     }
@@ -239,6 +284,19 @@
     pub(crate) base_at: Micros,
 }
 
+impl Latency {
+    /// Takes one more latency; the base grows by the part `growth` a second.
+    pub(crate) fn add(&mut self, elapsed: f64, now: Micros, weight: f64, growth: f64) {
+        self.count += 1;
+        self.mean += (elapsed - self.mean) * weight.max(1.0 / f64::from(self.count));
+        let drift = 1.0 + growth * (now - self.base_at) as f64 / 1e6;
+        self.base_at = now;
+        if f64::from(self.count) * weight >= 1.0 {
+            self.base = (self.base * drift).min(self.mean);
+        }
+    }
+}
+
 pub(crate) struct Bucket {
     pub(crate) tokens: f64,
     pub(crate) at: Micros,
@@ -246,6 +304,23 @@
     pub(crate) asked: f64,
 }
 
+impl Bucket {
+    /// What was asked for within the last seconds.
+    pub(crate) fn recent(&self, now: Micros) -> f64 {
+        self.asked * (1.0 - (now - self.at) as f64 / 4e6).max(0.0)
+    }
+
+    /// Takes a token if there is one; `rate` come in a second, up to `most`.
+    pub(crate) fn take(&mut self, now: Micros, rate: f64, most: f64) -> bool {
+        self.asked = self.recent(now) + 1.0;
+        self.tokens = (self.tokens + rate * (now - self.at) as f64 / 1e6).min(most);
+        self.at = now;
+        let taken = self.tokens >= 1.0;
+        self.tokens -= f64::from(u8::from(taken));
+        taken
+    }
+}
+
 /// Events a second: the best four seconds so far, fading. A single second of a small proxy says too much.
 pub(crate) struct PeakRate {
     pub(crate) count: f64,
@@ -253,6 +328,17 @@
     pub(crate) peak: f64,
 }
 
+impl PeakRate {
+    pub(crate) fn add(&mut self, now: Micros) {
+        self.count += 1.0;
+        let span = (now - self.since) as f64 / 1e6;
+        if span >= 4.0 {
+            self.peak = (self.count / span).max(self.peak * 0.95);
+            (self.count, self.since) = (0.0, now);
+        }
+    }
+}
+
 /// The requests that this proxy took, each at a place that stays the same; places are used again.
 #[derive(Default)]
 pub(crate) struct Requests {
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -4,13 +4,18 @@
     Server { id, listed: true, ..Server::default() }
 }
 
+fn unlist(servers: &mut Servers, place: usize) {
+    servers[place].listed = false;
+    servers.forget_if_gone(place);
+}
+
 #[test]
 fn ever_new_servers_take_the_places_of_those_that_are_gone() {
     let mut servers = Servers::default();
-    for id in 0..1_000 {
-        servers.unlist_all();
+    for id in 0..1_000_u32 {
+        let last = servers.find(id.wrapping_sub(1));
         servers.insert(listed(id));
-        servers.forget_gone();
+        last.into_iter().for_each(|place| unlist(&mut servers, place));
     }
     assert!(servers.len() <= 2, "{} places", servers.len());
     assert_eq!(servers.by_id.len(), 1);
@@ -21,8 +26,7 @@
     let mut servers = Servers::default();
     let first = servers.insert(listed(1));
     servers[first].held = 2;
-    servers.unlist_all();
-    servers.forget_gone();
+    unlist(&mut servers, first);
     servers.let_go(first);
     assert_ne!(servers.insert(listed(2)), first, "one attempt still names it");
     servers.let_go(first);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -111,7 +111,8 @@
 
 impl Proxy {
     pub fn new(settings: Settings, servers: impl IntoIterator<Item = Backend>) -> Self {
-        let balancer = Balancer::new(settings.clone(), 7, SECOND).expect("the settings make sense");
+        let seed = 7 + u64::from(settings.me);
+        let balancer = Balancer::new(settings.clone(), seed, SECOND).expect("the settings make sense");
         let mut proxy = Proxy {
             now: SECOND,
             settings,
