Measure what one proxy costs as the fleet grows: tillerproxy-lab slopes

Requests, membership changes and memory had been measured once by hand. Processor time is that of the thread, less the clock's own cost; memory is what a counting allocator sees freed.

Translator::parse reads an answer's text, so that the lab and the watcher take the same way; nothing else changes in the proxy.

Tests: 11 of the lab pass. Of the proxy's tests a_connection_that_its_backend_has_closed_is_not_used_again failed once in two runs of its file on a busy machine, and passed three times of three alone.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,9 +2,15 @@
 #![forbid(unsafe_code)]
 
 use clap::Parser;
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+use std::alloc::System;
 use std::process::ExitCode;
 use tillerproxy_lab::cli::Arguments;
 
+/// Counts allocated bytes, so that `slopes` can tell what the decisions hold.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     arguments.install_logging();
--- /dev/null
+++ b/lab/src/slopes/csv_file.rs
@@ -0,0 +1,66 @@
+//! The CSV file: one row for each quantity at each size.
+
+use super::measure::{Measurements, Point};
+use super::quantity::{Quantity, Unit};
+use super::stopwatch::Summary;
+use crate::error::LabError;
+use serde::Serialize;
+use std::path::Path;
+
+/// A row of the file.
+#[derive(Serialize)]
+struct Row {
+    sweep: String,
+    backends: u32,
+    proxies: u32,
+    tenants: u32,
+    classes: u32,
+    requests_per_second: f64,
+    quantity: String,
+    unit: Unit,
+    median: f64,
+    least: f64,
+    greatest: f64,
+}
+
+/// Writes all points of all sweeps and of the target.
+///
+/// # Errors
+/// [`LabError::Unwritable`] where the file can't be written.
+pub fn write(path: &Path, measured: &Measurements) -> Result<(), LabError> {
+    let unwritable = |source| LabError::Unwritable { path: path.to_owned(), source };
+    let mut writer = csv::Writer::from_path(path).map_err(|error| unwritable(error.into()))?;
+    for row in rows(measured) {
+        writer.serialize(row).map_err(|error| unwritable(error.into()))?;
+    }
+    writer.flush().map_err(unwritable)
+}
+
+fn rows(measured: &Measurements) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for (sweep, points) in &measured.sweeps {
+        let name = format!("{sweep:?}").to_lowercase();
+        points.iter().for_each(|point| rows.extend(point_rows(&name, point)));
+    }
+    rows.extend(point_rows("target", &measured.target.mean));
+    rows.extend(point_rows("target_hot", &measured.target.hot));
+    rows
+}
+
+fn point_rows(sweep: &str, point: &Point) -> Vec<Row> {
+    let setup = point.setup;
+    let row = |(quantity, summary): (&Quantity, &Summary)| Row {
+        sweep: sweep.to_owned(),
+        backends: setup.backends,
+        proxies: setup.proxies,
+        tenants: setup.tenants,
+        classes: setup.classes,
+        requests_per_second: setup.requests_per_second,
+        quantity: quantity.key(),
+        unit: quantity.unit(),
+        median: summary.median,
+        least: summary.least,
+        greatest: summary.greatest,
+    };
+    point.figures.iter().map(row).collect()
+}
--- a/lab/src/slopes/mod.rs
+++ b/lab/src/slopes/mod.rs
@@ -1,21 +1,137 @@
-//! The `slopes` experiment.
+//! The `slopes` experiment: what one proxy's decisions, membership and state cost as backends, proxies,
+//! tenants and classes grow, and what that comes to at the target.
+//!
+//! Costs are processor time of the real decision module under load in virtual time ([`virtual_proxy`]) and of
+//! the real translator of discovery's answers ([`membership`]); memory is what the allocator counts
+//! ([`memory`]). Sockets are not part of it.
+
+pub mod analysis;
+pub mod costs;
+pub mod csv_file;
+pub mod endpoints;
+pub mod fit;
+pub mod measure;
+pub mod membership;
+pub mod memory;
+pub mod plot;
+pub mod quantity;
+pub mod report;
+pub mod scenario;
+pub mod setup;
+pub mod stopwatch;
+pub mod virtual_proxy;
 
 use crate::cli::CommonOptions;
 use crate::error::LabError;
+use crate::results::RunResult;
+use crate::scenario::{Scenario, read};
+use analysis::Analysis;
 use clap::Args;
+use indicatif::{ProgressBar, ProgressStyle};
+use measure::{Bench, Measurements};
+use scenario::{MOST_BACKENDS, MOST_REPETITIONS, SlopesScenario};
+use serde::Serialize;
+use std::path::{Path, PathBuf};
+
+/// Layout of the progress bar.
+const PROGRESS_TEMPLATE: &str = "{bar:40} {pos}/{len} {msg} (about {eta} left)";
 
 /// Options of `slopes`.
 #[derive(Args, Clone, Debug)]
 pub struct SlopesOptions {
     #[command(flatten)]
     common: CommonOptions,
+    /// TOML file with sizes, load, target and budgets; built-in values without one.
+    #[arg(long, value_name = "FILE")]
+    scenario: Option<PathBuf>,
+    /// Numbers of backends to measure at, ascending, in place of the scenario's.
+    #[arg(long, value_delimiter = ',', value_name = "N,N,...",
+        value_parser = clap::value_parser!(u32).range(1..=i64::from(MOST_BACKENDS)))]
+    sizes: Option<Vec<u32>>,
+    /// Repetitions of each measurement, in place of the scenario's.
+    #[arg(long, value_name = "N",
+        value_parser = clap::value_parser!(u32).range(1..=i64::from(MOST_REPETITIONS)))]
+    repetitions: Option<u32>,
+    /// File that the figures are written to as comma-separated values.
+    #[arg(long, value_name = "FILE")]
+    csv: Option<PathBuf>,
+    /// SVG file that the costs over the number of backends are plotted to.
+    #[arg(long, value_name = "FILE")]
+    plot: Option<PathBuf>,
+}
+
+/// What the JSON result holds besides the run and the scenario.
+#[derive(Clone, Debug, Serialize)]
+pub struct SlopesResult {
+    /// The measurements.
+    pub measurements: Measurements,
+    /// Fits and budgets.
+    pub analysis: Analysis,
 }
 
 /// Runs the experiment.
 ///
 /// # Errors
-/// What kept it from running.
+/// A scenario that makes no sense, a file that can't be written, or settings that the program refuses.
 pub fn run(options: &SlopesOptions) -> Result<(), LabError> {
-    let info = options.common.run_info("slopes");
-    Err(LabError::Failed(format!("{} is not there yet", info.experiment)))
+    let scenario = options.scenario()?;
+    let result = measure(&scenario, options.common.seed, &options.progress(&scenario))?;
+    println!("{}", report::text(&result.measurements, &result.analysis));
+    if let Some(path) = &options.common.json {
+        let run = options.common.run_info("slopes");
+        RunResult { run, scenario: &scenario, measured: &result }.write(path)?;
+    }
+    if let Some(path) = &options.csv {
+        csv_file::write(path, &result.measurements)?;
+    }
+    if let Some(path) = &options.plot {
+        plot::write(path, &result.measurements)?;
+    }
+    Ok(())
+}
+
+/// Measures a scenario and analyses the figures.
+///
+/// # Errors
+/// [`LabError::Failed`] where the program refuses the settings or a list that the lab made.
+pub fn measure(
+    scenario: &SlopesScenario,
+    seed: u64,
+    progress: &ProgressBar,
+) -> Result<SlopesResult, LabError> {
+    let measurements = Bench::new(scenario, seed, progress).run()?;
+    progress.finish_and_clear();
+    let analysis = Analysis::of(scenario, &measurements);
+    Ok(SlopesResult { measurements, analysis })
+}
+
+impl SlopesOptions {
+    /// The scenario with what the command line puts in place of it.
+    fn scenario(&self) -> Result<SlopesScenario, LabError> {
+        let mut scenario = match &self.scenario {
+            Some(path) => read(path)?,
+            None => SlopesScenario::default(),
+        };
+        if let Some(sizes) = &self.sizes {
+            scenario.sizes.clone_from(sizes);
+        }
+        if let Some(repetitions) = self.repetitions {
+            scenario.repetitions = repetitions;
+        }
+        scenario.validate().map_err(|invalid| LabError::Scenario {
+            path: Path::new("command line").to_owned(),
+            key: invalid.key,
+            problem: invalid.problem,
+        })?;
+        Ok(scenario)
+    }
+
+    fn progress(&self, scenario: &SlopesScenario) -> ProgressBar {
+        if self.common.quiet {
+            return ProgressBar::hidden();
+        }
+        let style = ProgressStyle::with_template(PROGRESS_TEMPLATE);
+        let style = style.unwrap_or_else(|_| ProgressStyle::default_bar());
+        ProgressBar::new(Bench::steps(scenario)).with_style(style)
+    }
 }
--- /dev/null
+++ b/lab/src/slopes/quantity.rs
@@ -0,0 +1,167 @@
+//! The quantities that are measured, with their units.
+
+use serde::Serialize;
+
+/// What one figure means. Costs are processor time of one event unless the name says otherwise.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Quantity {
+    /// `Event::Request`: the arrival of a request.
+    Request,
+    /// `Event::Settled`: the end of an attempt.
+    RequestEnd,
+    /// All events of a request together: its arrival, its ends and its timers.
+    WholeRequest,
+    /// Processor time of an arrival, median.
+    RequestP50,
+    /// Processor time of an arrival, 99th percentile.
+    RequestP99,
+    /// Processor time of an end, 99th percentile.
+    RequestEndP99,
+    /// Wall time of an arrival, median. Wall time counts what other processes of the machine take.
+    RequestWallP50,
+    /// Wall time of an arrival, 99th percentile.
+    RequestWallP99,
+    /// Wall time of an end, 99th percentile.
+    RequestEndWallP99,
+    /// A delta of one entry, mean over the kinds of change below.
+    Entry,
+    /// A delta of one: a backend begins to drain.
+    EntryDrain,
+    /// A delta of one: a draining backend is ready again.
+    EntryReady,
+    /// A delta of one: a backend has a new process.
+    EntryRestart,
+    /// A delta of one: a backend is gone.
+    EntryGone,
+    /// A delta of one: a backend joins.
+    EntryJoin,
+    /// A delta of all entries of a zone, draining or ready again.
+    ZoneDelta,
+    /// A whole list that says nothing new.
+    ListUnchanged,
+    /// A whole list without any of the backends that were known.
+    ListReplaced,
+    /// As [`Quantity::Entry`], from the JSON text of discovery's answer.
+    EntryFromText,
+    /// As [`Quantity::ZoneDelta`], from text.
+    ZoneDeltaFromText,
+    /// As [`Quantity::ListUnchanged`], from text.
+    ListUnchangedFromText,
+    /// As [`Quantity::ListReplaced`], from text.
+    ListReplacedFromText,
+    /// Bytes of one entry in a list.
+    EntryBytes,
+    /// Bytes of the body of a delta of one.
+    DeltaOfOneBytes,
+    /// Bytes of the body of a zone's delta.
+    ZoneDeltaBytes,
+    /// Bytes of the body of a whole list.
+    ListBytes,
+    /// Heap of the decisions under load.
+    BalancerMemory,
+    /// Heap of the translation of discovery's names.
+    TranslatorMemory,
+}
+
+/// Unit of a quantity.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Unit {
+    /// Nanoseconds.
+    Nanoseconds,
+    /// Bytes.
+    Bytes,
+}
+
+impl Quantity {
+    /// Every quantity, in the order of reports.
+    pub const ALL: [Self; 28] = [
+        Self::Request,
+        Self::RequestEnd,
+        Self::WholeRequest,
+        Self::RequestP50,
+        Self::RequestP99,
+        Self::RequestEndP99,
+        Self::RequestWallP50,
+        Self::RequestWallP99,
+        Self::RequestEndWallP99,
+        Self::Entry,
+        Self::EntryDrain,
+        Self::EntryReady,
+        Self::EntryRestart,
+        Self::EntryGone,
+        Self::EntryJoin,
+        Self::ZoneDelta,
+        Self::ListUnchanged,
+        Self::ListReplaced,
+        Self::EntryFromText,
+        Self::ZoneDeltaFromText,
+        Self::ListUnchangedFromText,
+        Self::ListReplacedFromText,
+        Self::EntryBytes,
+        Self::DeltaOfOneBytes,
+        Self::ZoneDeltaBytes,
+        Self::ListBytes,
+        Self::BalancerMemory,
+        Self::TranslatorMemory,
+    ];
+
+    /// Its unit.
+    #[must_use]
+    pub fn unit(self) -> Unit {
+        match self {
+            Self::EntryBytes
+            | Self::DeltaOfOneBytes
+            | Self::ZoneDeltaBytes
+            | Self::ListBytes
+            | Self::BalancerMemory
+            | Self::TranslatorMemory => Unit::Bytes,
+            _ => Unit::Nanoseconds,
+        }
+    }
+
+    /// Its name in tables.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Request => "request arrives",
+            Self::RequestEnd => "request ends",
+            Self::WholeRequest => "request, all events",
+            Self::RequestP50 => "arrival, p50",
+            Self::RequestP99 => "arrival, p99",
+            Self::RequestEndP99 => "end, p99",
+            Self::RequestWallP50 => "arrival, wall p50",
+            Self::RequestWallP99 => "arrival, wall p99",
+            Self::RequestEndWallP99 => "end, wall p99",
+            Self::Entry => "one entry changed",
+            Self::EntryDrain => "  drains",
+            Self::EntryReady => "  ready again",
+            Self::EntryRestart => "  new process",
+            Self::EntryGone => "  gone",
+            Self::EntryJoin => "  joins",
+            Self::ZoneDelta => "zone changed",
+            Self::ListUnchanged => "list, unchanged",
+            Self::ListReplaced => "list, all replaced",
+            Self::EntryFromText => "one entry, from text",
+            Self::ZoneDeltaFromText => "zone, from text",
+            Self::ListUnchangedFromText => "list unchanged, from text",
+            Self::ListReplacedFromText => "list replaced, from text",
+            Self::EntryBytes => "bytes of an entry",
+            Self::DeltaOfOneBytes => "bytes of a delta of one",
+            Self::ZoneDeltaBytes => "bytes of a zone's delta",
+            Self::ListBytes => "bytes of a list",
+            Self::BalancerMemory => "heap of the decisions",
+            Self::TranslatorMemory => "heap of the translator",
+        }
+    }
+
+    /// Its name in files, as in the JSON result.
+    #[must_use]
+    pub fn key(self) -> String {
+        serde_json::to_value(self)
+            .ok()
+            .and_then(|value| value.as_str().map(str::to_owned))
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/lab/tests/slopes.rs
@@ -0,0 +1,221 @@
+//! The `slopes` experiment: a small run of the program, its errors, its fits and its repeatability.
+
+use indicatif::ProgressBar;
+use serde_json::Value;
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use tempfile::TempDir;
+use tillerproxy_lab::error::LabError;
+use tillerproxy_lab::scenario::{parse, read};
+use tillerproxy_lab::slopes::endpoints::{Endpoints, answer_text, entries_of, translator};
+use tillerproxy_lab::slopes::fit::{Fit, Model};
+use tillerproxy_lab::slopes::measure::{Point, Sweep};
+use tillerproxy_lab::slopes::quantity::Quantity;
+use tillerproxy_lab::slopes::scenario::SlopesScenario;
+use tillerproxy_lab::slopes::stopwatch::Summary;
+use tillerproxy_lab::slopes::{SlopesResult, measure};
+
+/// A fleet that is measured within a second, also by an unoptimised build.
+const SMALL: &str = r"
+sizes = [4, 8, 16]
+repetitions = 1
+
+[load]
+warm_up_requests = 20
+measured_requests = 80
+
+[fleet]
+tenants = 3
+classes = 2
+
+[changes]
+entries = 3
+zones = 1
+lists = 1
+
+[sweeps]
+backends = 8
+tenants = [1, 2, 4]
+classes = [1, 2, 4]
+proxies = [3, 6, 9]
+open_requests = [5, 10, 20]
+
+[target]
+backends = 20
+proxies = 4
+tenants = 5
+classes = 2
+ratio_sizes = [4, 16]
+";
+
+fn measure_small(seed: u64) -> SlopesResult {
+    let scenario = parse(SMALL, Path::new("small.toml")).expect("the small scenario is sound");
+    measure(&scenario, seed, &ProgressBar::hidden()).expect("a measurement")
+}
+
+fn scenario_file(directory: &TempDir, text: &str) -> PathBuf {
+    let path = directory.path().join("given.toml");
+    std::fs::write(&path, text).expect("a file in a new directory");
+    path
+}
+
+fn run_lab(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tillerproxy-lab"));
+    command.arg("slopes").args(arguments).env_remove("RUST_LOG").output().expect("the lab runs")
+}
+
+/// The message of a scenario that must be refused with exit code 2.
+fn refusal(text: &str) -> String {
+    let directory = TempDir::new().expect("a directory");
+    let path = scenario_file(&directory, text);
+    let output = run_lab(&["--scenario", path.to_str().expect("a plain path")]);
+    let message = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(2), "{message}");
+    assert!(message.contains("given.toml"), "{message}");
+    message
+}
+
+#[test]
+fn a_small_run_reports_tables_json_csv_and_plot() {
+    let directory = TempDir::new().expect("a directory");
+    let scenario = scenario_file(&directory, SMALL);
+    let file = |name: &str| directory.path().join(name).to_str().expect("a plain path").to_owned();
+    let (json, csv, plot) = (file("out.json"), file("out.csv"), file("out.svg"));
+    let scenario = scenario.to_str().expect("a plain path");
+    let arguments = ["--scenario", scenario, "--json", &json, "--csv", &csv, "--plot", &plot, "--quiet"];
+    let output = run_lab(&arguments);
+    let report = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    for title in ["By backends", "By tenants", "By classes", "By proxies", "Fits", "Budgets", "within"] {
+        assert!(report.contains(title), "no `{title}` in\n{report}");
+    }
+    check_json(&std::fs::read_to_string(&json).expect("the JSON result"));
+    let rows = std::fs::read_to_string(&csv).expect("the CSV file");
+    assert!(rows.starts_with("sweep,backends,proxies,tenants,classes,"), "{rows}");
+    assert!(rows.contains("target_hot,20,4,5,2,1410.0,request,nanoseconds,"), "{rows}");
+    assert!(std::fs::read_to_string(&plot).expect("the plot").contains("<svg"));
+}
+
+fn check_json(text: &str) {
+    let result: Value = serde_json::from_str(text).expect("JSON");
+    assert_eq!(result["run"]["experiment"], "slopes");
+    assert_eq!(result["scenario"]["sizes"], serde_json::json!([4, 8, 16]));
+    let measurements = &result["measured"]["measurements"];
+    let points = measurements["sweeps"]["backends"].as_array().expect("points");
+    assert_eq!(points.len(), 3);
+    for quantity in Quantity::ALL {
+        let median = points[2]["figures"][quantity.key()]["median"].as_f64();
+        assert!(median.is_some(), "{} is missing", quantity.key());
+    }
+    let heap = |point: &Value| point["figures"]["balancer_memory"]["median"].as_f64();
+    assert!(heap(&points[2]) > heap(&points[0]), "more backends need more memory");
+    assert_eq!(measurements["open_request_memory"].as_array().map(Vec::len), Some(3));
+}
+
+#[test]
+fn a_scenario_that_makes_no_sense_is_named_with_what_is_allowed() {
+    let unknown = refusal("[load]\nlatency = 50.0\n");
+    assert!(unknown.contains("load") && unknown.contains("latency_ms"), "{unknown}");
+    let range = refusal("[target]\ntenants = 70000\n");
+    assert!(range.contains("target.tenants") && range.contains("1 to 65535"), "{range}");
+    let order = refusal("sizes = [100, 10]\n");
+    assert!(order.contains("sizes") && order.contains("ascending"), "{order}");
+    let kind = refusal("repetitions = \"five\"\n");
+    assert!(kind.contains("repetitions") && kind.contains("u32"), "{kind}");
+    let sign = refusal("[budgets]\nadded_ms = -1.0\n");
+    assert!(sign.contains("budgets.added_ms") && sign.contains("above 0"), "{sign}");
+}
+
+#[test]
+fn a_missing_scenario_and_bad_options_end_with_exit_code_2() {
+    let missing = run_lab(&["--scenario", "no/such/file.toml"]);
+    assert_eq!(missing.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&missing.stderr).contains("no/such/file.toml"));
+    for arguments in [["--sizes", "10,0"], ["--repetitions", "0"]] {
+        let output = run_lab(&arguments);
+        let message = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(2), "{message}");
+        assert!(message.contains(arguments[0]) && message.contains("1.."), "{message}");
+    }
+    let unordered = run_lab(&["--sizes", "100,10"]);
+    assert_eq!(unordered.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&unordered.stderr).contains("command line: `sizes`"));
+}
+
+#[test]
+fn the_scenario_file_holds_the_built_in_values() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios/slopes.toml");
+    let scenario: Result<SlopesScenario, LabError> = read(&path);
+    assert_eq!(scenario.expect("a sound scenario"), SlopesScenario::default());
+}
+
+#[test]
+fn proxies_are_in_proportion_to_the_backends() {
+    let scenario = SlopesScenario::default();
+    assert_eq!(scenario.proxies_for(6_000), 710);
+    assert_eq!(scenario.proxies_for(300), 36);
+    assert_eq!(scenario.proxies_for(10), 3);
+}
+
+#[test]
+fn a_line_is_found_and_preferred() {
+    let points = [10.0, 100.0, 1_000.0].map(|x| (x, 50.0 + 2.0 * x));
+    let fit = Fit::of(&points).expect("a fit");
+    assert_eq!(fit.better, Model::Line);
+    assert!((fit.line.intercept - 50.0).abs() < 1e-6, "{fit:?}");
+    assert!((fit.line.slope - 2.0).abs() < 1e-9, "{fit:?}");
+    assert!((fit.at(6_000.0) - 12_050.0).abs() < 1e-4, "{fit:?}");
+}
+
+#[test]
+fn a_power_law_is_found_and_preferred() {
+    let points = [10.0_f64, 100.0, 1_000.0].map(|x| (x, 3.0 * x.powf(1.5)));
+    let fit = Fit::of(&points).expect("a fit");
+    assert_eq!(fit.better, Model::PowerLaw);
+    assert!((fit.power_law.exponent - 1.5).abs() < 1e-9, "{fit:?}");
+    assert!((fit.power_law.factor - 3.0).abs() < 1e-9, "{fit:?}");
+}
+
+#[test]
+fn too_few_sizes_have_no_fit() {
+    assert_eq!(Fit::of(&[(1.0, 1.0), (2.0, 2.0)]), None);
+    assert_eq!(Fit::of(&[(5.0, 1.0), (5.0, 2.0), (5.0, 3.0)]), None);
+    assert_eq!(Fit::of(&[(1.0, 1.0), (2.0, 2.0), (3.0, 0.0)]), None);
+}
+
+#[test]
+fn a_summary_has_median_and_range() {
+    let odd = Summary::of(vec![5.0, 1.0, 3.0]).expect("values");
+    assert_eq!((odd.median, odd.least, odd.greatest), (3.0, 1.0, 5.0));
+    let even = Summary::of(vec![4.0, 1.0, 2.0, 3.0]).expect("values");
+    assert_eq!(even.median, 2.5);
+    assert!((even.spread() - 0.6).abs() < 1e-9);
+    assert_eq!(Summary::of(Vec::new()), None);
+}
+
+#[test]
+fn the_same_seed_gives_the_same_events_and_another_seed_others() {
+    let counts = |seed| {
+        let sweeps = measure_small(seed).measurements.sweeps.into_iter();
+        let points = sweeps.flat_map(|(sweep, points): (Sweep, Vec<Point>)| {
+            points.into_iter().map(move |point| (sweep, point.setup.backends, point.counts))
+        });
+        points.collect::<Vec<_>>()
+    };
+    let first = counts(1);
+    assert!(first.iter().all(|(_, _, counts)| counts.requests >= 80 && counts.served > 0), "{first:?}");
+    assert_eq!(first, counts(1));
+    assert_ne!(first, counts(2));
+}
+
+#[test]
+fn the_translator_takes_every_entry_of_a_generated_list() {
+    let fleet = SlopesScenario::default().fleet;
+    let endpoints = Endpoints::generate(300, &fleet, 1);
+    let text = answer_text(1, true, endpoints.all());
+    let entries = entries_of(&mut translator(&fleet), &text).expect("a list");
+    assert_eq!(entries.len(), 300);
+    let zones: BTreeSet<u16> = entries.iter().map(|entry| entry.zone).collect();
+    assert_eq!(zones.len(), 5);
+}
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -167,6 +167,14 @@
         }
     }
 
+    /// Reads the JSON text of an answer. Entries that make no sense are logged and passed over.
+    ///
+    /// # Errors
+    /// [`DiscoveryError::Malformed`] where the text is no JSON or the list as a whole is not what is wanted.
+    pub fn parse(&mut self, body: &[u8]) -> Result<List, DiscoveryError> {
+        self.list(serde_json::from_slice(body).map_err(DiscoveryError::Malformed)?)
+    }
+
     /// Reads a list. Entries that make no sense are logged and passed over.
     ///
     /// # Errors
@@ -424,7 +432,7 @@
             }
         };
         let body = timeout(limit, self.fetch(&target)).await.map_err(|_| DiscoveryError::Timeout)??;
-        let list = self.translator.list(serde_json::from_slice(&body).map_err(DiscoveryError::Malformed)?)?;
+        let list = self.translator.parse(&body)?;
         match self.revision {
             // Versions that begin anew are another service's: the next call asks for the whole list.
             Some(held) if list.revision < held => {
