Let each repetition of slopes go through all sizes, and tell the machine's load

On a busy machine all repetitions of one size fell into the same seconds: a request at 6,000 backends cost 74 us with 30 proxies and 134 us with 100, with little spread in either. Repetitions now alternate between sizes, so that such seconds show as spread instead, and the result has the load average before and after.

--- a/lab/src/slopes/measure.rs
+++ b/lab/src/slopes/measure.rs
@@ -79,6 +79,8 @@
 /// All that was measured.
 #[derive(Clone, Debug, Serialize)]
 pub struct Measurements {
+    /// Load of the machine at the start and at the end: a busy machine makes every figure larger.
+    pub load_average: LoadAverage,
     /// Nanoseconds that a reading of the clock takes; they are taken off.
     pub clock_overhead_ns: f64,
     /// The sweeps.
@@ -89,6 +91,23 @@
     pub target: TargetPoints,
 }
 
+/// The machine's load averages over one minute; `None` where the system tells none.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct LoadAverage {
+    /// Before the first measurement.
+    pub before: Option<f64>,
+    /// After the last one.
+    pub after: Option<f64>,
+}
+
+/// A size that is measured, with what its repetitions have shown so far.
+struct Job {
+    setup: Setup,
+    extent: Extent,
+    counts: Counts,
+    values: BTreeMap<Quantity, Vec<f64>>,
+}
+
 /// Makes all measurements of a scenario.
 pub struct Bench<'a> {
     scenario: &'a SlopesScenario,
@@ -154,6 +173,17 @@
     }
 }
 
+impl Job {
+    fn new(setup: Setup, extent: Extent) -> Self {
+        Self { setup, extent, counts: Counts::default(), values: BTreeMap::new() }
+    }
+
+    fn finish(self) -> Point {
+        let summaries = self.values.into_iter().filter_map(|(q, values)| Some((q, Summary::of(values)?)));
+        Point { setup: self.setup, counts: self.counts, figures: summaries.collect() }
+    }
+}
+
 impl<'a> Bench<'a> {
     /// Measurements with this seed; `progress` moves on by one with each repetition.
     #[must_use]
@@ -169,26 +199,39 @@
         (sizes as u64 + targets) * u64::from(scenario.repetitions)
     }
 
-    /// Makes all measurements.
+    /// Makes all measurements. Each repetition goes through all sizes, so that a machine that is busy for a while
+    /// does not spoil all repetitions of a few sizes.
     ///
     /// # Errors
     /// [`LabError::Failed`] where the program refuses the settings or a list that the lab made.
     pub fn run(&self) -> Result<Measurements, LabError> {
-        let mut sweeps = BTreeMap::new();
-        for sweep in Sweep::ALL {
-            let setups = sweep.setups(self.scenario);
-            let points = setups.into_iter().map(|setup| self.point(setup, sweep.extent()));
-            sweeps.insert(sweep, points.collect::<Result<_, _>>()?);
+        let before = load_average();
+        let mut sweeps: BTreeMap<Sweep, Vec<Job>> =
+            Sweep::ALL.into_iter().map(|sweep| (sweep, self.jobs(sweep))).collect();
+        let [mut mean, mut hot] = self.target_jobs();
+        for repetition in 0..self.scenario.repetitions {
+            let swept = sweeps.values_mut().flatten();
+            for job in swept.chain([&mut mean, &mut hot]) {
+                self.repeat(job, repetition)?;
+            }
         }
+        let points = |jobs: Vec<Job>| jobs.into_iter().map(Job::finish).collect();
         Ok(Measurements {
             clock_overhead_ns: self.stopwatch.overhead().as_nanos() as f64,
-            sweeps,
+            sweeps: sweeps.into_iter().map(|(sweep, jobs)| (sweep, points(jobs))).collect(),
             open_request_memory: self.open_request_memory()?,
-            target: self.target()?,
+            target: TargetPoints { mean: mean.finish(), hot: hot.finish() },
+            load_average: LoadAverage { before, after: load_average() },
         })
     }
 
-    fn target(&self) -> Result<TargetPoints, LabError> {
+    fn jobs(&self, sweep: Sweep) -> Vec<Job> {
+        let setups = sweep.setups(self.scenario).into_iter();
+        setups.map(|setup| Job::new(setup, sweep.extent())).collect()
+    }
+
+    /// The target at the mean rate and at that of a hot proxy.
+    fn target_jobs(&self) -> [Job; 2] {
         let target = &self.scenario.target;
         let mean = Setup {
             backends: target.backends,
@@ -198,24 +241,18 @@
             requests_per_second: target.requests_per_second,
         };
         let hot = Setup { requests_per_second: target.requests_per_second * target.hot_factor, ..mean };
-        Ok(TargetPoints {
-            mean: self.point(mean, Extent::Everything)?,
-            hot: self.point(hot, Extent::Decisions)?,
-        })
+        [Job::new(mean, Extent::Everything), Job::new(hot, Extent::Decisions)]
     }
 
-    /// Measures at one size, as often as the scenario wants.
-    fn point(&self, setup: Setup, extent: Extent) -> Result<Point, LabError> {
+    fn repeat(&self, job: &mut Job, repetition: u32) -> Result<(), LabError> {
+        let setup = job.setup;
         self.progress.set_message(format!("{} backends, {} proxies", setup.backends, setup.proxies));
-        let mut counts = Counts::default();
-        let mut values: BTreeMap<Quantity, Vec<f64>> = BTreeMap::new();
-        for repetition in 0..self.scenario.repetitions {
-            let figures = self.repetition(&setup, extent, repetition, &mut counts)?;
-            figures.into_iter().for_each(|(quantity, value)| values.entry(quantity).or_default().push(value));
-            self.progress.inc(1);
+        let figures = self.repetition(&setup, job.extent, repetition, &mut job.counts)?;
+        for (quantity, value) in figures {
+            job.values.entry(quantity).or_default().push(value);
         }
-        let summaries = values.into_iter().filter_map(|(q, values)| Some((q, Summary::of(values)?)));
-        Ok(Point { setup, counts, figures: summaries.collect() })
+        self.progress.inc(1);
+        Ok(())
     }
 
     fn repetition(
@@ -299,6 +336,12 @@
     }
 }
 
+/// The machine's load over the last minute, from `/proc/loadavg`.
+fn load_average() -> Option<f64> {
+    let text = std::fs::read_to_string("/proc/loadavg").ok()?;
+    text.split_whitespace().next()?.parse().ok()
+}
+
 fn failed(error: impl std::error::Error) -> LabError {
     LabError::Failed(error.to_string())
 }
--- a/lab/src/slopes/report.rs
+++ b/lab/src/slopes/report.rs
@@ -40,7 +40,7 @@
 /// The whole report.
 #[must_use]
 pub fn text(measured: &Measurements, analysis: &Analysis) -> String {
-    let mut report = String::new();
+    let mut report = load_text(measured);
     for (&sweep, points) in &measured.sweeps {
         let quantities: &[Quantity] =
             if sweep == Sweep::Backends { &Quantity::ALL } else { &DECISION_QUANTITIES };
@@ -55,6 +55,12 @@
     report
 }
 
+fn load_text(measured: &Measurements) -> String {
+    let load = measured.load_average;
+    let Some((before, after)) = load.before.zip(load.after) else { return String::new() };
+    format!("Load of the machine: {before} at the start, {after} at the end\n\n")
+}
+
 fn section(report: &mut String, title: &str, table: &Table) {
     let _ = writeln!(report, "{title}\n{table}\n");
 }
