Test that nothing is sent on for clients that left before or between attempts

Tests covered a half-close while a connection came up, and held requests. Three new ones cover each way to leave (close, half-close, reset) with nothing, a further request or noise behind: while the connection comes up, while the first attempt is out, and while a further one waits for room. The first also bounds the median time in which leaving is noticed. Each fails without the watch on the socket's end, without the driver's word to the attempt, or without the word to the module, as far as they bear on it.

--- a/tests/proxy/moments.rs
+++ b/tests/proxy/moments.rs
@@ -100,20 +100,23 @@
 /// A proxy whose held requests wait for many seconds.
 fn patient(name: &str, discovery: &Discovery, backend: &Backend, memory_mb: u64) -> Proxy {
     let mut config = operated(name, discovery);
-    config["settings"]["classes"][2]["deadlineUs"] = 200_000_000.into();
-    config["settings"]["classes"][2]["aimUs"] = 100_000_000.into();
+    for class in [0, 2] {
+        config["settings"]["classes"][class]["deadlineUs"] = 200_000_000.into();
+        config["settings"]["classes"][class]["aimUs"] = 100_000_000.into();
+    }
     config["limits"]["memory_mb"] = memory_mb.into();
     let proxy = Proxy::start_with(name, config);
     discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
     proxy
 }
 
-/// Waits until so many requests are in progress, for less time than any is held.
-fn in_progress(proxy: &Proxy, requests: usize) {
+/// Waits until so many requests are in progress, for less time than any is held; how long that took.
+fn in_progress(proxy: &Proxy, requests: usize) -> Duration {
     let began = std::time::Instant::now();
     while proxy.figure("app_in_progress") != requests as u64 {
         assert!(began.elapsed() < Duration::from_secs(5), "not {requests} in progress");
     }
+    began.elapsed()
 }
 
 /// Lets the backend answer, and asks for more: whatever else it sees was sent on for nobody.
@@ -137,7 +140,7 @@
     let (backend, releases) = full_backend();
     let proxy = patient("burst", &discovery, &backend, 192);
     let clients = fill(&proxy, &backend);
-    let behind = [String::new(), request("charge", "behind", "x"), "x".repeat(20_000)];
+    let behind = sent_behind();
     let mut leavers = Vec::new();
     for (i, (way, behind)) in WAYS.iter().flat_map(|way| behind.iter().map(move |b| (*way, b))).enumerate() {
         let mut client = proxy.client();
@@ -170,6 +173,106 @@
     }
 }
 
+/// What a client may have sent behind its request when it leaves: nothing, a further request, noise.
+fn sent_behind() -> [String; 3] {
+    [String::new(), request("charge", "behind", "x"), "x".repeat(20_000)]
+}
+
+/// A backend that tells when it is asked, answers nothing before a word comes, and then breaks the connection.
+fn breaks_on_word() -> (Backend, std::sync::mpsc::Sender<()>) {
+    let (release, word) = channel();
+    let mut reply = Some(Reply::After(word, Box::new(Reply::WriteAndClose(Vec::new()))));
+    (Backend::start(move |_| reply.take().expect("asked once")), release)
+}
+
+/// No attempt begins later than this after its client has left.
+const NOTICED_WITHIN: Duration = Duration::from_millis(100);
+
+/// The connection is on its way up when the client leaves, in each way and whatever it sent behind its request.
+#[test]
+fn a_request_is_not_sent_on_a_connection_that_comes_up_after_its_client_left() {
+    let discovery = Discovery::start();
+    let backend = FullQueue::start();
+    let mut config = operated("left-connecting", &discovery);
+    // A lone backend has room for few; the others would wait for a slot.
+    config["settings"]["permissions"]["dialTimeoutUs"] = 15_000_000.into();
+    let proxy = Proxy::start_with("left-connecting", config);
+    discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+    let mut noticed = Vec::new();
+    for (i, (way, behind)) in WAYS.iter().flat_map(|way| sent_behind().map(|b| (*way, b))).enumerate() {
+        let mut client = proxy.client();
+        client.send(&(request("charge", &format!("left-{i}"), "x") + &behind));
+        in_progress(&proxy, 1);
+        let left = leave(client, way);
+        noticed.push(in_progress(&proxy, 0));
+        drop(left);
+    }
+    // A machine that is busy elsewhere may hold up some of them.
+    noticed.sort_unstable();
+    assert!(noticed[noticed.len() / 2] <= NOTICED_WITHIN, "{noticed:?}");
+    let mut client = proxy.client();
+    client.send(&request("charge", "stays", "x"));
+    assert_eq!(ids_that_come(backend.empty()), ["stays"]);
+    assert_eq!(client.receive().body, b"there");
+}
+
+/// The first attempt is out when its client leaves, and would have been followed by another one.
+#[test]
+fn no_further_attempt_is_made_for_a_client_that_left() {
+    for (i, (way, behind)) in WAYS.iter().flat_map(|way| sent_behind().map(|b| (*way, b))).enumerate() {
+        let discovery = Discovery::start();
+        let (breaks, release) = breaks_on_word();
+        let other = Backend::start(|_| ok("there"));
+        let name = format!("left-retry-{i}");
+        let proxy = Proxy::start_with(&name, operated(&name, &discovery));
+        discovery.post(true, &[entry("s-1", breaks.address, "active", 0)]);
+        let mut client = proxy.client();
+        client.send(&(request("read", "left", "") + &behind));
+        breaks.next();
+        discovery.post(
+            true,
+            &[entry("s-1", breaks.address, "active", 0), entry("s-2", other.address, "active", 0)],
+        );
+        let left = leave(client, way);
+        in_progress(&proxy, 0);
+        release.send(()).expect("the backend waits");
+        discovery.post(true, &[entry("s-2", other.address, "active", 0)]);
+        for id in ["stays", "comes later"] {
+            assert_eq!(proxy.client().ask(&request("charge", id, "x")).status(), 200);
+            assert_eq!(
+                other.next().header("x-correlation-id"),
+                Some(id),
+                "{way:?}, {} behind it",
+                behind.len()
+            );
+        }
+        drop(left);
+    }
+}
+
+/// The first attempt is over, the second waits for room, and its client leaves meanwhile.
+#[test]
+fn a_further_attempt_that_waits_for_room_is_not_made_for_a_client_that_left() {
+    for (i, (way, behind)) in WAYS.iter().flat_map(|way| sent_behind().map(|b| (*way, b))).enumerate() {
+        let discovery = Discovery::start();
+        let (breaks, release) = breaks_on_word();
+        let (backend, releases) = full_backend();
+        let proxy = patient(&format!("left-waiting-{i}"), &discovery, &breaks, 192);
+        let mut client = proxy.client();
+        client.send(&(request("read", "left", "").replace("15000", "190000") + &behind));
+        breaks.next();
+        discovery.post(true, &[entry("s-2", backend.address, "active", 0)]);
+        let clients = fill(&proxy, &backend);
+        release.send(()).expect("the backend waits");
+        // By then it has seen that the first attempt broke.
+        (0..20).for_each(|_| _ = proxy.client().ask(UP));
+        let left = leave(client, way);
+        in_progress(&proxy, ROOM);
+        only_new_ones_come(&proxy, &backend, clients, &releases);
+        drop(left);
+    }
+}
+
 /// The one connection that there is room for is taken while another waits in the kernel's queue with its request. The
 /// process is told to end, and the first connection ends when nothing else keeps the process.
 #[test]
