Test cold servers' budget under bursts of twenty and thirty proxies

The new one lets large bursts come to all proxies at once, where the settings let a cold server have little, counts held requests that are sent later too, and allows N and twice the root of N and two more.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -111,7 +111,12 @@
 
 impl Proxy {
     pub fn new(settings: Settings, servers: impl IntoIterator<Item = Backend>) -> Self {
-        let balancer = Balancer::new(settings.clone(), 7, SECOND).expect("the settings make sense");
+        Self::seeded(settings, 7, servers)
+    }
+
+    /// One that draws its random numbers from this seed.
+    pub fn seeded(settings: Settings, seed: u64, servers: impl IntoIterator<Item = Backend>) -> Self {
+        let balancer = Balancer::new(settings.clone(), seed, SECOND).expect("the settings make sense");
         let mut proxy = Proxy {
             now: SECOND,
             settings,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -245,3 +245,75 @@
         (cold_sends(20, 50 * MS, 40 * MS, 400 * MS), cold_sends(20, 50 * MS, 40 * MS, 40 * MS));
     assert!(quick.len() > 2 * slow.len(), "{} sends in four seconds, {} if slow", quick.len(), slow.len());
 }
+
+/// A cold server that bears little, so that the budget binds and not the concurrency limits.
+const SMALL_BUDGET: Safety = Safety {
+    ask_within: 10 * SECOND,
+    cold_from: 0.1,
+    cold_time: 10 * SECOND,
+    fall_multiple: 1.5,
+    fall_time: 2 * SECOND,
+};
+
+/// How long after its restart sends to a cold server are looked at.
+const COLD_SPAN: Micros = 4 * SECOND;
+
+/// When a fleet that gets its requests in bursts, all proxies in the same moment, sends to a server that has just
+/// restarted among ten, counted from its restart. Each proxy gets `burst` requests at once every `pause`; warm servers
+/// answer after 40 ms, the cold one after 400 ms.
+fn cold_sends_in_bursts(balancers: u32, pause: Micros, burst: u32) -> Vec<Micros> {
+    const RESTARTED: BackendId = 3;
+    const STEP: Micros = 50 * MS;
+    const WARM_UP: Micros = 12 * SECOND;
+    let mut settings = settings();
+    (settings.zones, settings.balancers, settings.safety) = (1, balancers, SMALL_BUDGET);
+    let mut sends = Vec::new();
+    for me in 0..balancers {
+        let servers = (0..10).map(|id| Backend { zone: 0, ..backend(id) });
+        let mut proxy = Proxy::seeded(Settings { me, ..settings.clone() }, u64::from(me), servers);
+        let restart = proxy.now + WARM_UP;
+        let mut id = 0;
+        for step in 1..=(WARM_UP + COLD_SPAN) / STEP {
+            proxy.advance(STEP);
+            let restarted = proxy.now >= restart;
+            if proxy.now == restart {
+                let started = Some(restart);
+                proxy.list(Membership::Delta(&[Backend { zone: 0, started, ..backend(RESTARTED) }]));
+            }
+            proxy.serve(|id| if restarted && id == RESTARTED { 400 * MS } else { 40 * MS });
+            if (step * STEP) % pause > 0 {
+                continue;
+            }
+            for _ in 0..burst {
+                id += 1;
+                proxy.request(request(id, 0));
+            }
+        }
+        // Those too that were held before.
+        let to_it = |action: &Action| matches!(action, Action::Send { backend: RESTARTED, .. });
+        let sent = proxy.log.iter().filter(|(at, action)| *at >= restart && to_it(action));
+        sends.extend(sent.map(|(at, _)| at - restart));
+    }
+    sends.sort_unstable();
+    sends
+}
+
+/// It falls beyond N requests in the fall time and twice the root of N and two more. N is what the settings allow a
+/// server whose capacity is what the warm ones serve in the bursts, or one request after another if that is more.
+#[test]
+fn all_proxies_together_stay_under_a_cold_servers_budget_in_bursts() {
+    let Safety { cold_from, fall_multiple, fall_time, .. } = SMALL_BUDGET;
+    for balancers in [20, 30] {
+        for (pause, burst) in [(SECOND, 6), (SECOND, 20)] {
+            let offered = f64::from(balancers * burst) * SECOND as f64 / pause as f64 / 10.0;
+            let capacity = offered.max(SECOND as f64 / (40 * MS) as f64);
+            let n = fall_multiple * cold_from * capacity * fall_time as f64 / SECOND as f64;
+            let allowed = n + 2.0 * n.sqrt() + 2.0;
+            let sends = cold_sends_in_bursts(balancers, pause, burst);
+            let window = |&t: &Micros| sends.iter().filter(|&&u| u >= t && u < t + fall_time).count();
+            let most = sends.iter().map(window).max().expect("a cold server gets something");
+            let case = format!("{balancers} proxies, {burst} requests every {} ms", pause / MS);
+            assert!(most as f64 <= allowed, "{case}: {most} sends in the fall time, {allowed:.1} allowed");
+        }
+    }
+}
