--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -112,6 +112,11 @@
 impl Proxy {
     pub fn new(settings: Settings, servers: impl IntoIterator<Item = Backend>) -> Self {
         let seed = 7 + u64::from(settings.me);
+        Self::seeded(settings, seed, servers)
+    }
+
+    /// One that draws its random numbers from this seed.
+    pub fn seeded(settings: Settings, seed: u64, servers: impl IntoIterator<Item = Backend>) -> Self {
         let balancer = Balancer::new(settings.clone(), seed, SECOND).expect("the settings make sense");
         let mut proxy = Proxy {
             now: SECOND,
