Ask discovery again soon enough that a change is known in time whatever failed

Cause: `subscribe` bounded the wait by four times `ask_within` alone, and spread calls over 0.2 s for each proxy. By the formula any fleet of more than 21 proxies could pass 6 s. Change: the wait ahead of a call, back-off and spread together, is 2.5 s at most: 6 s less the 3.5 s that a call may take. Fleets of up to about twelve proxies keep five calls a second; larger ones use all of the time that is left.

Loss: all calls of a large fleet come within 2.5 s of a failure; 710 are 284 calls a second, and what discovery can't carry it refuses and is asked for again.

--- a/src/balancer/membership.rs
+++ b/src/balancer/membership.rs
@@ -10,6 +10,8 @@
 const CALL_EVERY: Micros = SECOND / 5;
 /// The longest wait ahead of a call and the time that one takes at the most, with a second to spare.
 const CALL_TAKES: Micros = 8 * SECOND;
+/// A proxy has to know a change 6 s after discovery had it and could be reached; a call takes 3.5 s at most.
+const LONGEST_WAIT: Micros = 5 * SECOND / 2;
 
 impl Balancer {
     pub(super) fn on_membership(&mut self, now: Micros, news: Membership<'_>, out: &mut Vec<Action>) {
@@ -49,12 +51,13 @@
     }
 
     /// Asks discovery. Departure: not at once, but `wait` from now and at random in the time that all proxies
-    /// take at one call `every` so long; together they would keep it overbooked.
+    /// take at one call `every` so long, within what the rules allow; together they would keep it overbooked.
     pub(super) fn subscribe(&mut self, wait: Micros, every: Micros, out: &mut Vec<Action>) {
         // A proxy is held to what it could have asked from four times `ask_within` after a call that failed.
         let most = self.settings.safety.ask_within.saturating_mul(4).saturating_sub(CALL_TAKES).max(SECOND);
-        let wait = wait.min(most);
-        let span = wait.max(u64::from(self.settings.balancers - 1) * every).min(most);
+        let most = most.min(LONGEST_WAIT);
+        let wait = wait.min(most / 2);
+        let span = wait.max(u64::from(self.settings.balancers - 1) * every).min(most - wait);
         let after = wait + self.rng.u64(0..=span);
         let later = Action::SetTimer { after, token: TIMER_SUBSCRIBE };
         out.push(if after > 0 { later } else { Action::Subscribe });
