Keep up the tenants' demand as they ask in place of a sum over all of them

Cause: `over_share` summed the recent requests and the allowances of all tenants for each request without a token, and at 710 proxies nearly every request is without one. Change: `src/demand.rs` keeps the sum, in whole numbers so that nothing drifts, and a queue of those that asked within the last four seconds. Judged is what was judged before.

--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -20,8 +20,9 @@
 mod selection;
 
 use crate::api::{Action, Event, Micros, Settings, SettingsError};
+use crate::demand::Demand;
 use crate::index::ChoiceIndex;
-use crate::state::{Bucket, CommonLimit, Latency, PeakRate, Pool, Requests, Server, Servers, Window};
+use crate::state::{CommonLimit, Latency, PeakRate, Pool, Requests, Server, Servers, Window};
 use limits::INITIAL_LIMIT;
 use retries::RETRY_BURST;
 
@@ -47,7 +48,7 @@
     latencies: Vec<Latency>,
     /// What the servers of each kind of machine take.
     kinds: Vec<CommonLimit>,
-    tenants: Vec<Bucket>,
+    tenants: Demand,
     retry_tokens: f64,
     /// How long a connection may have rested and is still used, as of a point in time.
     rest: (f64, Micros),
@@ -71,8 +72,7 @@
         let window = Window { since: now, ..Window::default() };
         let common = CommonLimit { limit: INITIAL_LIMIT, growing: true, window, service: 0.0 };
         let share = f64::from(settings.balancers);
-        let bucket =
-            |t: &crate::api::Tenant| Bucket { tokens: t.allowance_per_s / share, at: now, asked: 0.0 };
+        let rates = settings.tenants.iter().map(|tenant| tenant.allowance_per_s / share);
         Ok(Self {
             rng: fastrand::Rng::with_seed(seed),
             servers: Servers::default(),
@@ -83,7 +83,7 @@
             in_flight: 0,
             latencies,
             kinds: vec![common; kinds],
-            tenants: settings.tenants.iter().map(bucket).collect(),
+            tenants: Demand::new(rates, now),
             retry_tokens: RETRY_BURST,
             rest: (settings.permissions.conn_idle as f64, now),
             pool: Pool { slots: 0.0, spread: 1.0, most: u32::MAX, judged_at: None },
--- a/src/balancer/requests.rs
+++ b/src/balancer/requests.rs
@@ -33,15 +33,7 @@
     /// token is over its share only if it also asks for more of its allowance here than the tenants do on
     /// the whole.
     fn over_share(&mut self, now: Micros, tenant: usize) -> bool {
-        let allowance = |tenant: usize| self.settings.tenants[tenant].allowance_per_s;
-        let Some(bucket) = self.tenants.get_mut(tenant) else { return false };
-        let rate = allowance(tenant) / f64::from(self.settings.balancers);
-        if bucket.take(now, rate, rate.max(1.0)) {
-            return false;
-        }
-        let own = bucket.recent(now);
-        let all = self.tenants.iter().map(|b| b.recent(now)).sum::<f64>();
-        own * (0..self.tenants.len()).map(allowance).sum::<f64>() > all * allowance(tenant)
+        !self.tenants.take(now, tenant) && self.tenants.is_above_average(now, tenant)
     }
 
     /// Sends a request where there is room, or holds it, or ends it. Departure: where crossing zones is
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod api;
 pub mod balancer;
+mod demand;
 mod index;
 pub mod proxy;
 mod state;
--- a/src/state.rs
+++ b/src/state.rs
@@ -297,30 +297,6 @@
     }
 }
 
-pub(crate) struct Bucket {
-    pub(crate) tokens: f64,
-    pub(crate) at: Micros,
-    /// Requests of late, fading within seconds.
-    pub(crate) asked: f64,
-}
-
-impl Bucket {
-    /// What was asked for within the last seconds.
-    pub(crate) fn recent(&self, now: Micros) -> f64 {
-        self.asked * (1.0 - (now - self.at) as f64 / 4e6).max(0.0)
-    }
-
-    /// Takes a token if there is one; `rate` come in a second, up to `most`.
-    pub(crate) fn take(&mut self, now: Micros, rate: f64, most: f64) -> bool {
-        self.asked = self.recent(now) + 1.0;
-        self.tokens = (self.tokens + rate * (now - self.at) as f64 / 1e6).min(most);
-        self.at = now;
-        let taken = self.tokens >= 1.0;
-        self.tokens -= f64::from(u8::from(taken));
-        taken
-    }
-}
-
 /// Events a second: the best four seconds so far, fading. A single second of a small proxy says too much.
 pub(crate) struct PeakRate {
     pub(crate) count: f64,
