Let slopes measure a proxy of any age, for tenants' token buckets start empty

A balancer's buckets of tenants start empty, and a request that finds no token costs a look at all tenants. Runs of ten seconds see hardly any tenant twice, so they overstate that cost: load.proxy_age_seconds lets the buckets fill first.

--- a/lab/src/slopes/costs.rs
+++ b/lab/src/slopes/costs.rs
@@ -50,6 +50,23 @@
     timers: EventCosts,
 }
 
+/// Where the costs of a batch go, and how they are measured.
+pub struct Meter<'a> {
+    /// How this batch is measured.
+    pub timing: Timing,
+    /// The clock.
+    pub stopwatch: Stopwatch,
+    /// The costs so far.
+    pub costs: &'a mut DecisionCosts,
+}
+
+impl Meter<'_> {
+    /// Hands each event to `handle` and measures that.
+    pub fn measure(&mut self, kind: EventKind, events: &[Event<'_>], handle: impl FnMut(&Event<'_>)) {
+        self.costs.of(kind).measure(events, self.timing, &self.stopwatch, handle);
+    }
+}
+
 impl Timing {
     /// The ways to measure, which batches take in turn.
     pub const MEASURED: [Self; 3] = [Self::Batch, Self::Processor, Self::Wall];
@@ -63,8 +80,7 @@
 }
 
 impl EventCosts {
-    /// Hands each event to `handle` and measures that.
-    pub fn measure(
+    fn measure(
         &mut self,
         events: &[Event<'_>],
         timing: Timing,
@@ -96,8 +112,7 @@
 }
 
 impl DecisionCosts {
-    /// Costs of events of that kind.
-    pub fn of(&mut self, kind: EventKind) -> &mut EventCosts {
+    fn of(&mut self, kind: EventKind) -> &mut EventCosts {
         match kind {
             EventKind::Arrival => &mut self.arrivals,
             EventKind::End => &mut self.ends,
--- a/lab/src/slopes/measure.rs
+++ b/lab/src/slopes/measure.rs
@@ -199,8 +199,8 @@
         (sizes as u64 + targets) * u64::from(scenario.repetitions)
     }
 
-    /// Makes all measurements. Each repetition goes through all sizes, so that a machine that is busy for a while
-    /// does not spoil all repetitions of a few sizes.
+    /// Makes all measurements. Each repetition goes through all sizes, so that a machine that is busy for a
+    /// while does not spoil all repetitions of a few sizes.
     ///
     /// # Errors
     /// [`LabError::Failed`] where the program refuses the settings or a list that the lab made.
--- a/lab/src/slopes/report.rs
+++ b/lab/src/slopes/report.rs
@@ -4,6 +4,7 @@
 use super::fit::Model;
 use super::measure::{Measurements, Point, Sweep};
 use super::quantity::{Quantity, Unit};
+use super::setup::Setup;
 use super::stopwatch::Summary;
 use comfy_table::{CellAlignment, Table, presets};
 use std::fmt::Write;
@@ -44,7 +45,7 @@
     for (&sweep, points) in &measured.sweeps {
         let quantities: &[Quantity] =
             if sweep == Sweep::Backends { &Quantity::ALL } else { &DECISION_QUANTITIES };
-        section(&mut report, &sweep_title(sweep), &sweep_table(sweep, points, quantities));
+        section(&mut report, &sweep_title(sweep, points), &sweep_table(sweep, points, quantities));
     }
     section(&mut report, "Target, measured as it is", &target_table(measured));
     section(&mut report, "Fits, and their value at the target", &fit_table(&analysis.curves));
@@ -65,9 +66,21 @@
     let _ = writeln!(report, "{title}\n{table}\n");
 }
 
-fn sweep_title(sweep: Sweep) -> String {
+fn sweep_title(sweep: Sweep, points: &[Point]) -> String {
     let swept = sweep_label(sweep);
-    format!("By {swept}: median of the repetitions, half their range in percent")
+    let at = points.first().map_or_else(String::new, |point| fixed_sizes(sweep, point));
+    format!("By {swept}{at}: median of the repetitions, half their range in percent")
+}
+
+/// The sizes that a sweep leaves as they are.
+fn fixed_sizes(sweep: Sweep, point: &Point) -> String {
+    let Setup { backends, proxies, tenants, classes, .. } = point.setup;
+    match sweep {
+        Sweep::Backends => format!(", with {tenants} tenants and {classes} classes"),
+        Sweep::Tenants => format!(", with {backends} backends, {proxies} proxies and {classes} classes"),
+        Sweep::Classes => format!(", with {backends} backends, {proxies} proxies and {tenants} tenants"),
+        Sweep::Proxies => format!(", with {backends} backends, {tenants} tenants and {classes} classes"),
+    }
 }
 
 fn sweep_label(sweep: Sweep) -> &'static str {
--- a/lab/src/slopes/scenario.rs
+++ b/lab/src/slopes/scenario.rs
@@ -17,6 +17,8 @@
 const MOST_GROUPS: u32 = 26;
 /// Most requests or open requests of one repetition.
 const MOST_EVENTS: u32 = 1_000_000;
+/// The oldest proxy, seconds: a day.
+const MOST_AGE_SECONDS: f64 = 86_400.0;
 /// Most membership changes of one repetition.
 const MOST_CHANGES: u32 = 100_000;
 
@@ -58,6 +60,10 @@
     pub batch_requests: f64,
     /// Exponent of the Zipf distribution of requests over tenants; 0 spreads them evenly.
     pub tenant_skew: f64,
+    /// How long the proxy has run when its first request comes. The balancer's token buckets of tenants start
+    /// empty, and a request without a token costs a look at all tenants: at 0 that is nearly every request of
+    /// a small tenant.
+    pub proxy_age_seconds: f64,
 }
 
 /// What the fleet has besides the swept number.
@@ -176,6 +182,7 @@
             measured_requests: 2_000,
             batch_requests: 8.0,
             tenant_skew: 1.0,
+            proxy_age_seconds: 0.0,
         }
     }
 }
@@ -271,6 +278,10 @@
         if !(0.0..=10.0).contains(&self.tenant_skew) {
             return Err(invalid("load.tenant_skew", self.tenant_skew, "0 to 10"));
         }
+        if !(0.0..=MOST_AGE_SECONDS).contains(&self.proxy_age_seconds) {
+            let allowed = format!("0 to {MOST_AGE_SECONDS}");
+            return Err(invalid("load.proxy_age_seconds", self.proxy_age_seconds, &allowed));
+        }
         Ok(())
     }
 }
--- a/lab/src/slopes/stopwatch.rs
+++ b/lab/src/slopes/stopwatch.rs
@@ -7,8 +7,9 @@
 /// Readings from which the cost of a reading is taken.
 const CALIBRATION_READINGS: usize = 1_001;
 
-/// Measures processor time (`CLOCK_THREAD_CPUTIME_ID`), less what a reading of that clock itself costs.
-#[derive(Clone, Copy, Debug)]
+/// Measures processor time (`CLOCK_THREAD_CPUTIME_ID`), less what a reading of that clock itself costs. The
+/// default takes nothing off.
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Stopwatch {
     overhead: Duration,
 }
--- a/lab/src/slopes/virtual_proxy.rs
+++ b/lab/src/slopes/virtual_proxy.rs
@@ -2,7 +2,7 @@
 //!
 //! Service times are those of an uncrowded fleet; what the balancer's choices do to backends is not modelled.
 
-use super::costs::{DecisionCosts, EventKind, Timing};
+use super::costs::{DecisionCosts, EventKind, Meter, Timing};
 use super::scenario::{FleetShape, Load};
 use super::setup::Setup;
 use super::stopwatch::Stopwatch;
@@ -145,7 +145,8 @@
 }
 
 impl VirtualProxy {
-    /// A proxy that has just read the whole list `backends`.
+    /// A proxy that has run for the scenario's `proxy_age_seconds` and has just read the whole list
+    /// `backends`.
     ///
     /// # Errors
     /// The setting that the balancer refuses.
@@ -160,7 +161,7 @@
         let problem = || SettingsError { field: "load".into(), problem: "has no distribution".into() };
         let mut proxy = Self {
             balancer: Balancer::new(settings, seed, EPOCH)?,
-            now: EPOCH,
+            now: EPOCH + (load.proxy_age_seconds * SECOND as f64) as Micros,
             step: (load.batch_requests / setup.requests_per_second * SECOND as f64).max(1.0) as Micros,
             traffic: Traffic::new(setup, load, seed).ok_or_else(problem)?,
             next_request: 0,
@@ -176,24 +177,24 @@
         Ok(proxy)
     }
 
-    /// Lets so many requests come in, with all that happens meanwhile.
+    /// Lets so many requests come in, with all that happens meanwhile, and measures that.
     pub fn serve(&mut self, requests: u32, stopwatch: &Stopwatch, costs: &mut DecisionCosts) {
         let last = self.counts.requests + u64::from(requests);
         for timing in Timing::MEASURED.into_iter().cycle() {
             if self.counts.requests >= last {
                 return;
             }
-            self.step(timing, stopwatch, costs);
+            self.step(&mut Meter { timing, stopwatch: *stopwatch, costs: &mut *costs });
         }
     }
 
     /// Lets so many requests come in without measuring.
     pub fn warm_up(&mut self, requests: u32) {
         let last = self.counts.requests + u64::from(requests);
-        let stopwatch = Stopwatch::calibrated();
         let mut ignored = DecisionCosts::default();
+        let stopwatch = Stopwatch::default();
         while self.counts.requests < last {
-            self.step(Timing::None, &stopwatch, &mut ignored);
+            self.step(&mut Meter { timing: Timing::None, stopwatch, costs: &mut ignored });
         }
     }
 
@@ -233,14 +234,14 @@
         self.balancer
     }
 
-    fn step(&mut self, timing: Timing, stopwatch: &Stopwatch, costs: &mut DecisionCosts) {
+    fn step(&mut self, meter: &mut Meter<'_>) {
         self.now += self.step;
-        self.end_attempts(timing, stopwatch, costs);
-        self.fire_timers(timing, stopwatch, costs);
-        self.admit_requests(timing, stopwatch, costs);
+        self.end_attempts(meter);
+        self.fire_timers(meter);
+        self.admit_requests(meter);
     }
 
-    fn end_attempts(&mut self, timing: Timing, stopwatch: &Stopwatch, costs: &mut DecisionCosts) {
+    fn end_attempts(&mut self, meter: &mut Meter<'_>) {
         let mut ended = Vec::new();
         while let Some(Reverse(attempt)) = self.attempts.peek().copied().filter(|a| a.0.ends_at <= self.now) {
             self.attempts.pop();
@@ -249,7 +250,7 @@
         let reports: Vec<[f32; 3]> = ended.iter().map(|attempt| self.report(attempt)).collect();
         let events: Vec<Event<'_>> =
             ended.iter().zip(&reports).map(|(a, r)| Event::Settled(a.settled(r))).collect();
-        self.handle_all(EventKind::End, &events, timing, stopwatch, costs);
+        self.handle_all(EventKind::End, &events, meter);
         for attempt in ended.iter().filter(|a| a.in_time) {
             self.counts.served += 1;
             self.open.remove(&attempt.request);
@@ -267,18 +268,18 @@
         [1.0, 0.0, *mean]
     }
 
-    fn fire_timers(&mut self, timing: Timing, stopwatch: &Stopwatch, costs: &mut DecisionCosts) {
+    fn fire_timers(&mut self, meter: &mut Meter<'_>) {
         let mut events = Vec::new();
         while let Some(Reverse(timer)) = self.timers.peek().copied().filter(|t| t.0.due_at <= self.now) {
             self.timers.pop();
             events.push(Event::Timer(timer.token));
         }
         self.counts.timers += events.len() as u64;
-        self.handle_all(EventKind::Timer, &events, timing, stopwatch, costs);
+        self.handle_all(EventKind::Timer, &events, meter);
         self.carry_out();
     }
 
-    fn admit_requests(&mut self, timing: Timing, stopwatch: &Stopwatch, costs: &mut DecisionCosts) {
+    fn admit_requests(&mut self, meter: &mut Meter<'_>) {
         let mut events = Vec::new();
         for _ in 0..self.traffic.arrivals() {
             events.push(Event::Request(self.traffic.request(self.next_request)));
@@ -286,22 +287,14 @@
             self.next_request += 1;
         }
         self.counts.requests += events.len() as u64;
-        self.handle_all(EventKind::Arrival, &events, timing, stopwatch, costs);
+        self.handle_all(EventKind::Arrival, &events, meter);
         self.carry_out();
         self.counts.most_open = self.counts.most_open.max(self.open.len() as u64);
     }
 
-    fn handle_all(
-        &mut self,
-        kind: EventKind,
-        events: &[Event<'_>],
-        timing: Timing,
-        stopwatch: &Stopwatch,
-        costs: &mut DecisionCosts,
-    ) {
+    fn handle_all(&mut self, kind: EventKind, events: &[Event<'_>], meter: &mut Meter<'_>) {
         let (now, balancer, actions) = (self.now, &mut self.balancer, &mut self.actions);
-        let handle = |event: &Event<'_>| balancer.handle(now, *event, actions);
-        costs.of(kind).measure(events, timing, stopwatch, handle);
+        meter.measure(kind, events, |event| balancer.handle(now, *event, actions));
     }
 
     fn carry_out(&mut self) {
