Test descriptors under idle crowds, and that fleets that start are ready in time

Two terms had no test. One: a crowd of a hundred idle clients at a process of 64 descriptors while discovery is down; at its return the proxy connects to it and to the backend that it names within 8 s, and once the crowd has left each new client is served. It fails where the number of clients is not bounded. Two: sixteen processes start together with an old list and discovery that answers in turn or not at all, or with no list; nine in ten have to be ready within 10 s. It fails where the list of the configuration does not make a process ready, and where first calls are spread over 2 s a proxy.

--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -3,6 +3,7 @@
 mod forms;
 mod moments;
 mod operating;
+mod pressure;
 mod rig;
 
 use rig::*;
--- a/tests/proxy/moments.rs
+++ b/tests/proxy/moments.rs
@@ -178,7 +178,8 @@
     [String::new(), request("charge", "behind", "x"), "x".repeat(20_000)]
 }
 
-/// A backend that tells when it is asked, answers nothing before a word comes, and then breaks the connection.
+/// A backend that tells when it is asked, answers nothing before a word comes, and then breaks the
+/// connection.
 fn breaks_on_word() -> (Backend, std::sync::mpsc::Sender<()>) {
     let (release, word) = channel();
     let mut reply = Some(Reply::After(word, Box::new(Reply::WriteAndClose(Vec::new()))));
@@ -188,7 +189,8 @@
 /// No attempt begins later than this after its client has left.
 const NOTICED_WITHIN: Duration = Duration::from_millis(100);
 
-/// The connection is on its way up when the client leaves, in each way and whatever it sent behind its request.
+/// The connection is on its way up when the client leaves, in each way and whatever it sent behind its
+/// request.
 #[test]
 fn a_request_is_not_sent_on_a_connection_that_comes_up_after_its_client_left() {
     let discovery = Discovery::start();
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -236,7 +236,12 @@
 impl Discovery {
     /// Discovery that holds every call until a list is posted.
     pub fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        Self::start_at("127.0.0.1:0")
+    }
+
+    /// One at this address.
+    pub fn start_at(address: &str) -> Self {
+        let listener = TcpListener::bind(address).expect("a port");
         let address = listener.local_addr().expect("an address");
         let board = Arc::new((Mutex::new(Board { revision: 0, list: None }), Condvar::new()));
         let (told, calls) = channel();
@@ -302,7 +307,12 @@
 
 /// A configuration that knows no backends.
 pub fn config(name: &str, discovery: &Discovery) -> Value {
-    json!({"name": name, "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
+    config_at(name, discovery.address)
+}
+
+/// One with discovery at this address.
+pub fn config_at(name: &str, discovery: SocketAddr) -> Value {
+    json!({"name": name, "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
         "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": {"revision": 0, "complete": true, "members": []}, "settings": settings()})
 }
@@ -361,6 +371,15 @@
         Self::follow(name, launch(name, &config.to_string()))
     }
 
+    /// A proxy with this configuration, whose process may have so many descriptors.
+    pub fn start_limited(name: &str, config: &Value, descriptors: usize) -> Self {
+        let program = command(name, &config.to_string());
+        let mut limited = Command::new("sh");
+        limited.args(["-c", &format!("ulimit -n {descriptors} && exec \"$0\"")]);
+        limited.arg(program.get_program()).envs(program.get_envs().filter_map(|(k, v)| Some((k, v?))));
+        Self::follow(name, limited.stderr(Stdio::piped()).spawn().expect("the program starts"))
+    }
+
     /// A proxy that was started: its addresses are in its log.
     fn follow(name: &str, mut child: Child) -> Self {
         let mut operator = None;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -258,9 +258,9 @@
 /// How long after its restart sends to a cold server are looked at.
 const COLD_SPAN: Micros = 4 * SECOND;
 
-/// When a fleet that gets its requests in bursts, all proxies in the same moment, sends to a server that has just
-/// restarted among ten, counted from its restart. Each proxy gets `burst` requests at once every `pause`; warm servers
-/// answer after 40 ms, the cold one after 400 ms.
+/// When a fleet that gets its requests in bursts, all proxies in the same moment, sends to a server that has
+/// just restarted among ten, counted from its restart. Each proxy gets `burst` requests at once every
+/// `pause`; warm servers answer after 40 ms, the cold one after 400 ms.
 fn cold_sends_in_bursts(balancers: u32, pause: Micros, burst: u32) -> Vec<Micros> {
     const RESTARTED: BackendId = 3;
     const STEP: Micros = 50 * MS;
@@ -298,8 +298,9 @@
     sends
 }
 
-/// It falls beyond N requests in the fall time and twice the root of N and two more. N is what the settings allow a
-/// server whose capacity is what the warm ones serve in the bursts, or one request after another if that is more.
+/// It falls beyond N requests in the fall time and twice the root of N and two more. N is what the settings
+/// allow a server whose capacity is what the warm ones serve in the bursts, or one request after another if
+/// that is more.
 #[test]
 fn all_proxies_together_stay_under_a_cold_servers_budget_in_bursts() {
     let Safety { cold_from, fall_multiple, fall_time, .. } = SMALL_BUDGET;
