Notice that a client has left behind more bytes than the kernel takes

The end of a connection shows only once all that came ahead of it has left the kernel, and nothing reads behind an open request: a client that sent 190 kB more and left was not seen to leave (95 kB and less were), and its request could be sent on when a slot fell free. While a whole request is open, what comes behind it is now read ahead, up to 2 MiB a connection, out of the memory for large bodies; beyond either bound reading stops as before. Left: requests whose own body is over 2 MiB, of which nothing is held. New tests: leaving in three ways behind 1 MB (fails without reading ahead), 3.6 MB of further requests served in their order (fails if the socket is read ahead of what is held), and the module's own bounds.

--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -364,11 +364,17 @@
         let ticket = self.counters.take(inbound.request.class);
         let guard = Guard { handle: &self.handle, request: inbound.request.id, answered: false };
         self.handle.tell(Message::Request(Box::new(inbound), sender));
+        let left = async {
+            match rest {
+                None => line.left(&self.budget.bodies).await,
+                Some(_) => line.socket().ended().await,
+            }
+        };
         // The library sees that a client has left only where it has read all that came ahead of it.
         let answer = tokio::select! {
             biased;
             answer = answer => answer,
-            () = line.socket().ended() => return Err(LEFT),
+            () = left => return Err(LEFT),
         };
         guard.answered();
         let (response, end) = match answer {
--- a/src/proxy/lines.rs
+++ b/src/proxy/lines.rs
@@ -2,6 +2,8 @@
 //! lose it.
 
 use super::ANSWER_STALL;
+use super::ahead::{READ_PIECE, ReadAhead};
+use super::budget;
 use super::clients::REQUEST_TIME;
 use super::framing::Framing;
 use super::socket::{Socket, Unread};
@@ -10,7 +12,7 @@
 use std::io;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker, ready};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -39,6 +41,7 @@
 /// One connection.
 pub struct Line {
     socket: Socket,
+    ahead: RefCell<ReadAhead>,
     framing: RefCell<Framing>,
     connected: Instant,
     /// When bytes last went either way.
@@ -60,6 +63,7 @@
         let now = Instant::now();
         Self {
             socket: Socket::new(stream),
+            ahead: RefCell::default(),
             framing: RefCell::new(Framing::new(head_cap)),
             connected: now,
             moved: Cell::new(now),
@@ -84,6 +88,29 @@
         pin!(self.socket.ended()).poll(&mut Context::from_waker(Waker::noop())).is_ready()
     }
 
+    /// Waits until its client has ended it. What the client sends meanwhile is read ahead, as far as there is
+    /// `memory` for it: behind more than the kernel takes, the end would not be seen. Whatever of the request
+    /// itself is still to come would be read as well, so it has to be whole.
+    pub async fn left(&self, memory: &budget::Bytes) {
+        tokio::select! {
+            () = self.socket.ended() => {}
+            () = self.read_ahead(memory) => {}
+        }
+    }
+
+    /// Reads ahead; ends where its client has ended it.
+    async fn read_ahead(&self, memory: &budget::Bytes) {
+        while self.socket.has_bytes().await {
+            if !self.ahead.borrow_mut().make_room(memory) {
+                return std::future::pending().await;
+            }
+            let mut piece = [0; READ_PIECE];
+            if let Some(read) = self.socket.read_now(&mut piece) {
+                self.ahead.borrow_mut().add(&piece[..read]);
+            }
+        }
+    }
+
     /// When it was accepted.
     #[must_use]
     pub fn connected(&self) -> Instant {
@@ -123,7 +150,7 @@
     /// Whether bytes wait that were not read yet.
     #[must_use]
     pub fn has_unread(&self) -> bool {
-        self.socket.unread() == Unread::Bytes
+        !self.ahead.borrow().is_empty() || self.socket.unread() == Unread::Bytes
     }
 
     /// When its client has taken too long, where it is the client's turn.
@@ -232,7 +259,14 @@
 impl AsyncRead for LineIo {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let old = buf.filled().len();
-        ready!(self.0.socket.poll_read(cx, buf))?;
+        let mut ahead = self.0.ahead.borrow_mut();
+        if !ahead.is_empty() {
+            ahead.hand_over(buf);
+        } else if self.0.socket.poll_read(cx, buf)?.is_pending() {
+            ahead.wake_later(cx.waker());
+            return Poll::Pending;
+        }
+        drop(ahead);
         if buf.filled().len() > old {
             self.0.read(&buf.filled()[old..]);
         }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -1,6 +1,7 @@
 //! The proxy on real sockets. It carries out what the [`Balancer`](crate::balancer::Balancer) decides and
 //! reports what came of it; it never picks a backend, retries, holds or refuses by itself.
 
+pub mod ahead;
 pub mod backends;
 pub mod bodies;
 pub mod budget;
--- a/src/proxy/socket.rs
+++ b/src/proxy/socket.rs
@@ -48,6 +48,16 @@
         while self.0.ready(Interest::PRIORITY).await.is_ok_and(|ready| !ready.is_read_closed()) {}
     }
 
+    /// Waits until something can be read, without taking it; `false` at the end.
+    pub async fn has_bytes(&self) -> bool {
+        matches!(self.0.peek(&mut [0]).await, Ok(1..))
+    }
+
+    /// Reads what has come; `None` where nothing has, and at the end.
+    pub fn read_now(&self, buffer: &mut [u8]) -> Option<usize> {
+        self.0.try_read(buffer).ok().filter(|&read| read > 0)
+    }
+
     /// Ends the sending side.
     ///
     /// # Errors
--- a/tests/proxy/moments.rs
+++ b/tests/proxy/moments.rs
@@ -275,6 +275,66 @@
     }
 }
 
+/// Its end comes behind far more than the kernel takes for a connection that nobody reads.
+#[test]
+fn a_client_that_leaves_behind_more_than_the_kernel_takes_is_seen_to_leave() {
+    const FAR_BEHIND: usize = 1_000_000;
+    let discovery = Discovery::start();
+    let (backend, releases) = full_backend();
+    let proxy = patient("far-behind", &discovery, &backend, 192);
+    let clients = fill(&proxy, &backend);
+    let further = request("charge", "behind", "x");
+    let behind = [further.repeat(FAR_BEHIND / further.len()), "x".repeat(FAR_BEHIND)];
+    for (i, (way, behind)) in WAYS.iter().flat_map(|way| behind.iter().map(move |b| (*way, b))).enumerate() {
+        let mut client = proxy.client();
+        client.send(&request("charge", &format!("left-{i}"), "x").replace("15000", "190000"));
+        in_progress(&proxy, ROOM + 1);
+        client.send(behind);
+        let left = leave(client, way);
+        in_progress(&proxy, ROOM);
+        drop(left);
+    }
+    only_new_ones_come(&proxy, &backend, clients, &releases);
+}
+
+/// More comes behind an open request than is read ahead, and each request is served in its turn.
+#[test]
+fn requests_that_come_behind_an_open_one_are_served_in_their_order() {
+    const FURTHER: usize = 60;
+    const BODY: usize = 60_000;
+    let discovery = Discovery::start();
+    let (release, word) = channel();
+    let mut word = Some(word);
+    let backend = Backend::start(move |seen| {
+        let own = ok(&String::from_utf8_lossy(&seen.body));
+        match word.take() {
+            Some(word) => Reply::After(word, Box::new(own)),
+            None => own,
+        }
+    });
+    let proxy = Proxy::start("in-order", &discovery, &[entry("s-1", backend.address, "active", 0)]);
+    let mut client = proxy.client();
+    client.send(&request("charge", "open", "first"));
+    backend.next();
+    let mut stream = client.stream.try_clone().expect("a clone");
+    let body = |i: usize| format!("{i:06}").repeat(BODY / 6);
+    let sending = std::thread::spawn(move || {
+        for i in 0..FURTHER {
+            stream.write_all(request("charge", &format!("further-{i}"), &body(i)).as_bytes())?;
+        }
+        Ok::<_, std::io::Error>(())
+    });
+    // By then it has read what it reads ahead.
+    (0..20).for_each(|_| _ = proxy.client().ask(UP));
+    release.send(()).expect("the backend waits");
+    assert_eq!(client.receive().body, b"first");
+    for i in 0..FURTHER {
+        let got = client.receive();
+        assert!(got.status() == 200 && got.body == body(i).as_bytes(), "request {i}: {}", got.status());
+    }
+    sending.join().expect("a thread").expect("the proxy reads all");
+}
+
 /// The one connection that there is room for is taken while another waits in the kernel's queue with its request. The
 /// process is told to end, and the first connection ends when nothing else keeps the process.
 #[test]
