Add the machines of an emulated fleet: scenario, event queue, backends, discovery

New are the typed TOML scenario with its timeline of events and checks that name the key and what is allowed; an event queue (binary heap for the near future, a wheel of unsorted slots behind it); random streams by concern; the topology of zones, regions and racks; a backend with cores, bounded queue, cold start and failures; and a discovery with revisions, watches and turns.

Nothing plays them yet.

--- /dev/null
+++ b/lab/src/fleet/events.rs
@@ -0,0 +1,147 @@
+//! The event queue: what happens next in virtual time.
+//!
+//! Events of the same time come in the order in which they were pushed, so that a run depends on its seed alone.
+//! The near future is a binary heap; later events wait in the slots of a wheel, unsorted, until their slot is
+//! near. Pushing costs constant time for most events, however many deadlines are pending.
+
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+use tillerproxy::api::Micros;
+
+/// Width of a slot, as a power of two: 512 us.
+const SLOT_BITS: u32 = 9;
+/// Number of slots: a horizon of 8.4 s.
+const SLOTS: usize = 1 << 14;
+
+/// An event with its time and its place among those of the same time.
+#[derive(Clone, Copy, Debug)]
+struct Entry<T> {
+    at: Micros,
+    sequence: u64,
+    event: T,
+}
+
+impl<T> PartialEq for Entry<T> {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.sequence) == (other.at, other.sequence)
+    }
+}
+
+impl<T> Eq for Entry<T> {}
+
+impl<T> PartialOrd for Entry<T> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<T> Ord for Entry<T> {
+    /// The earliest is the greatest: `BinaryHeap` pops the greatest.
+    fn cmp(&self, other: &Self) -> Ordering {
+        (other.at, other.sequence).cmp(&(self.at, self.sequence))
+    }
+}
+
+/// A queue of events, earliest first, first pushed first among those of the same time.
+#[derive(Debug)]
+pub struct EventQueue<T> {
+    now: Micros,
+    sequence: u64,
+    /// Events of the current slot and before.
+    near: BinaryHeap<Entry<T>>,
+    /// The number of the current slot, counted from time 0.
+    slot: u64,
+    wheel: Vec<Vec<Entry<T>>>,
+    in_wheel: usize,
+    /// Events beyond the wheel's horizon.
+    far: BinaryHeap<Entry<T>>,
+}
+
+impl<T: Copy> EventQueue<T> {
+    /// An empty queue at time 0.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            now: 0,
+            sequence: 0,
+            near: BinaryHeap::new(),
+            slot: 0,
+            wheel: (0..SLOTS).map(|_| Vec::new()).collect(),
+            in_wheel: 0,
+            far: BinaryHeap::new(),
+        }
+    }
+
+    /// The time of the event popped last.
+    #[must_use]
+    pub fn now(&self) -> Micros {
+        self.now
+    }
+
+    /// How many events are pending.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.near.len() + self.in_wheel + self.far.len()
+    }
+
+    /// Whether no event is pending.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Adds an event; one whose time has passed happens now.
+    pub fn push(&mut self, at: Micros, event: T) {
+        let at = at.max(self.now);
+        let entry = Entry { at, sequence: self.sequence, event };
+        self.sequence += 1;
+        let slot = at >> SLOT_BITS;
+        if slot <= self.slot {
+            self.near.push(entry);
+        } else if slot - self.slot < SLOTS as u64 {
+            self.wheel[slot as usize % SLOTS].push(entry);
+            self.in_wheel += 1;
+        } else {
+            self.far.push(entry);
+        }
+    }
+
+    /// Adds an event that happens after a span from now.
+    pub fn push_after(&mut self, span: Micros, event: T) {
+        self.push(self.now.saturating_add(span), event);
+    }
+
+    /// The next event and its time, which is the queue's present from then on.
+    pub fn pop(&mut self) -> Option<(Micros, T)> {
+        while self.near.is_empty() {
+            if self.is_empty() {
+                return None;
+            }
+            self.advance();
+        }
+        let entry = self.near.pop()?;
+        self.now = entry.at;
+        Some((entry.at, entry.event))
+    }
+
+    /// Moves to the next slot, or to the next one that holds anything where the wheel is empty.
+    fn advance(&mut self) {
+        let next_far = self.far.peek().map(|entry| entry.at >> SLOT_BITS);
+        self.slot = match next_far {
+            Some(slot) if self.in_wheel == 0 => slot,
+            _ => self.slot + 1,
+        };
+        let due = &mut self.wheel[self.slot as usize % SLOTS];
+        self.in_wheel -= due.len();
+        self.near.extend(due.drain(..));
+        while self.far.peek().is_some_and(|entry| entry.at >> SLOT_BITS <= self.slot) {
+            self.near.extend(self.far.pop());
+        }
+    }
+}
+
+impl<T: Copy> Default for EventQueue<T> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/lab/tests/fleet/discovery.rs
@@ -0,0 +1,90 @@
+//! The discovery stand-in and the proxies' watchers.
+
+use tillerproxy::api::{Backend, Readiness};
+use tillerproxy_lab::fleet::discovery::{Answer, Call, Discovery, Received, Reply};
+use tillerproxy_lab::fleet::scenario;
+
+fn entry(id: u32, readiness: Readiness) -> Backend {
+    Backend { id, zone: 0, kind: 0, cell: 0, readiness, started: None }
+}
+
+fn discovery(settings: &scenario::Discovery) -> Discovery {
+    Discovery::new(settings, (0..10).map(|id| entry(id, Readiness::Ready)).collect(), 3)
+}
+
+fn call(proxy: u16, after: Option<u64>, continues: bool) -> Call {
+    Call { proxy, serial: 1, after, wait: 1_000, continues }
+}
+
+/// Revision, completeness and ids of a list.
+fn list(reply: &Reply) -> (u64, bool, Vec<u32>) {
+    match &reply.answer {
+        Answer::List { revision, complete, entries } => {
+            (*revision, *complete, entries.iter().map(|entry| entry.id).collect())
+        }
+        Answer::Failed => panic!("the call failed"),
+    }
+}
+
+fn answered(received: Received) -> Reply {
+    match received {
+        Received::Answered(reply) => reply,
+        other => panic!("not answered: {other:?}"),
+    }
+}
+
+#[test]
+fn a_standing_watch_is_told_what_changed_and_others_wait_for_their_turn() {
+    let mut discovery = discovery(&scenario::Discovery::default());
+    assert!(matches!(discovery.receive(0, call(0, Some(1), true)), Received::Standing));
+    assert!(matches!(discovery.receive(0, call(1, Some(1), false)), Received::Waiting));
+    assert!(discovery.notice(entry(4, Readiness::Draining)));
+    assert!(!discovery.notice(entry(2, Readiness::Gone)));
+    assert_eq!(discovery.revision(), 1, "noticed and not yet published");
+    let replies = discovery.publish();
+    assert_eq!(replies.iter().map(list).collect::<Vec<_>>(), [(3, false, vec![2, 4])]);
+    let (received, _) = discovery.take_turn(10).expect("a call waits");
+    assert_eq!(list(&answered(received)), (3, false, vec![2, 4]));
+    assert_eq!(discovery.traffic.calls, 2);
+    assert_eq!(discovery.traffic.bytes, 4 * 200 + 4 * 132);
+}
+
+#[test]
+fn a_proxy_that_is_too_far_behind_gets_the_whole_list() {
+    let settings = scenario::Discovery { history: 2, ..Default::default() };
+    let mut discovery = discovery(&settings);
+    for id in [1, 2, 3] {
+        discovery.notice(entry(id, if id == 3 { Readiness::Gone } else { Readiness::Draining }));
+    }
+    discovery.publish();
+    let near = answered(discovery.receive(0, call(0, Some(2), true)));
+    assert_eq!(list(&near), (4, false, vec![2, 3]));
+    let far = answered(discovery.receive(0, call(1, Some(1), true)));
+    assert_eq!(list(&far), (4, true, vec![0, 1, 2, 4, 5, 6, 7, 8, 9]), "what is gone is not listed");
+    assert_eq!(discovery.traffic.lists, 1);
+}
+
+#[test]
+fn calls_fail_that_waited_too_long_or_find_discovery_down() {
+    let settings = scenario::Discovery { longest_turn_ms: 5.0, ..Default::default() };
+    let mut discovery = discovery(&settings);
+    discovery.receive(0, call(0, None, false));
+    let (received, _) = discovery.take_turn(6_000).expect("a call waits");
+    assert!(matches!(answered(received).answer, Answer::Failed));
+    discovery.receive(0, call(0, Some(1), true));
+    discovery.receive(0, call(1, None, false));
+    assert_eq!(discovery.go_down().len(), 2, "the watch ends and the waiting call fails");
+    assert!(matches!(answered(discovery.receive(0, call(2, None, false))).answer, Answer::Failed));
+    discovery.come_back();
+    assert!(matches!(discovery.receive(0, call(0, Some(1), true)), Received::Standing));
+}
+
+#[test]
+fn nothing_is_answered_on_a_silent_watch() {
+    let mut discovery = discovery(&scenario::Discovery::default());
+    discovery.receive(0, call(0, Some(1), true));
+    discovery.silence(0);
+    discovery.notice(entry(1, Readiness::Gone));
+    assert!(discovery.publish().is_empty());
+    assert!(discovery.end_wait(0, 1).is_none());
+}
--- /dev/null
+++ b/lab/tests/fleet/main.rs
@@ -0,0 +1,5 @@
+//! The emulated fleet: its machines.
+
+mod backend;
+mod discovery;
+mod events;
