Play an emulated fleet in virtual time: the real module beside two baselines

`tillerproxy-lab fleet SCENARIO` was a stub. It now plays a scenario under the decision module, random choice and two choices with true queues, on the same arrivals and events, each in a thread of its own. Every proxy is the real `Balancer` with its own settings, seed and told list; clients, network, discovery's watches and the timeline's events are emulated. It prints worth, refusals, latency, load over backends, the spread of changes, discovery's calls and bytes and the four rules, and writes them with a time series as JSON and SVG.

--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -5,20 +5,57 @@
 //! baselines are played on the same arrivals and events.
 
 pub mod backend;
+pub mod client;
 pub mod discovery;
 pub mod events;
+pub mod faults;
+pub mod metrics;
+pub mod plot;
+pub mod policy;
+pub mod proxy;
 pub mod random;
+pub mod report;
+pub mod request;
+pub mod rules;
 pub mod scenario;
+pub mod simulation;
 pub mod slab;
+pub mod table;
 pub mod topology;
 
 use crate::cli::CommonOptions;
 use crate::error::LabError;
+use crate::results::RunResult;
+use crate::scenario::{InvalidValue, Scenario};
 use clap::Args;
+use faults::Plan;
+use indicatif::{MultiProgress, ProgressBar, ProgressDrawTarget, ProgressStyle};
+use policy::PolicyKind;
+use report::{FleetReport, PolicyReport};
+use scenario::FleetScenario;
+use simulation::Simulation;
+use std::path::PathBuf;
+use std::thread;
+use std::time::Instant;
+use topology::Topology;
 
 /// Options of `fleet`.
 #[derive(Args, Clone, Debug)]
 pub struct FleetOptions {
+    /// Scenario file (TOML).
+    pub scenario: PathBuf,
+    /// The policies to play.
+    #[arg(long, value_delimiter = ',', default_value = "module,random,two-choices")]
+    pub policies: Vec<PolicyKind>,
+    /// How long clients send requests, in place of the scenario's `duration_s`.
+    #[arg(long, value_name = "SECONDS")]
+    pub duration_s: Option<f64>,
+    /// Shrinks proxies, backends and load by this factor.
+    #[arg(long, value_name = "FACTOR")]
+    pub scale: Option<f64>,
+    /// File that the time series is drawn to (SVG).
+    #[arg(long, value_name = "FILE")]
+    pub plot: Option<PathBuf>,
     #[command(flatten)]
     common: CommonOptions,
 }
@@ -26,8 +63,99 @@
 /// Runs the experiment.
 ///
 /// # Errors
-/// What kept it from running.
+/// [`LabError::Scenario`] for a scenario that can't be played, [`LabError::Unwritable`] for a result that can't be
+/// written.
 pub fn run(options: &FleetOptions) -> Result<(), LabError> {
-    let info = options.common.run_info("fleet");
-    Err(LabError::Failed(format!("{} is not there yet", info.experiment)))
+    let scenario = read_scenario(options)?;
+    let seed = options.common.seed;
+    let measured = play(&scenario, &options.policies, seed, options.common.quiet)?;
+    println!("{measured}");
+    let run = options.common.run_info("fleet");
+    if let Some(path) = &options.common.json {
+        RunResult { run, scenario: &scenario, measured: &measured }.write(path)?;
+    }
+    if let Some(path) = &options.plot {
+        plot::draw(&measured, path)?;
+    }
+    Ok(())
+}
+
+/// Reads the scenario and applies the options that change it.
+fn read_scenario(options: &FleetOptions) -> Result<FleetScenario, LabError> {
+    let mut scenario: FleetScenario = crate::scenario::read(&options.scenario)?;
+    if let Some(factor) = options.scale {
+        if !(factor.is_finite() && factor > 0.0) {
+            return Err(invalid_option("--scale", format!("{factor} must be above 0")));
+        }
+        scenario = scenario.scaled(factor);
+    }
+    if let Some(duration) = options.duration_s {
+        scenario.duration_s = duration;
+    }
+    let invalid = |InvalidValue { key, problem }| LabError::Scenario {
+        path: options.scenario.clone(),
+        key,
+        problem: format!("{problem} (with the options of the command line)"),
+    };
+    scenario.validate().map_err(invalid)?;
+    Ok(scenario)
+}
+
+fn invalid_option(option: &str, problem: String) -> LabError {
+    LabError::Scenario { path: PathBuf::from("command line"), key: option.to_owned(), problem }
+}
+
+/// Plays a scenario under each policy, each on a thread of its own.
+///
+/// # Errors
+/// [`LabError::Failed`] where a policy does not take its settings.
+pub fn play(
+    scenario: &FleetScenario,
+    policies: &[PolicyKind],
+    seed: u64,
+    quiet: bool,
+) -> Result<FleetReport, LabError> {
+    let topology = Topology::new(scenario, seed);
+    let plan = Plan::new(scenario, &topology, seed);
+    let target = if quiet { ProgressDrawTarget::hidden() } else { ProgressDrawTarget::stderr() };
+    let bars = MultiProgress::with_draw_target(target);
+    let play = |kind: PolicyKind| {
+        let bar = bars.add(progress_bar(kind));
+        play_policy(scenario, &topology, &plan, kind, seed, &bar)
+    };
+    let results: Vec<_> = thread::scope(|scope| {
+        let threads: Vec<_> = policies.iter().map(|&kind| scope.spawn(move || play(kind))).collect();
+        threads.into_iter().map(|thread| thread.join()).collect()
+    });
+    let mut reports = Vec::with_capacity(results.len());
+    for result in results {
+        let report = result.map_err(|_| LabError::Failed("a policy's thread panicked".to_owned()))?;
+        reports.push(report?);
+    }
+    Ok(FleetReport::new(scenario, &topology, reports))
+}
+
+fn progress_bar(kind: PolicyKind) -> ProgressBar {
+    let style = ProgressStyle::with_template("{prefix:>12} {bar:40} {pos}/{len} ms of virtual time, {eta}");
+    let style = style.unwrap_or_else(|_| ProgressStyle::default_bar());
+    ProgressBar::new(0).with_style(style).with_prefix(kind.to_string())
+}
+
+fn play_policy(
+    scenario: &FleetScenario,
+    topology: &Topology,
+    plan: &Plan,
+    kind: PolicyKind,
+    seed: u64,
+    bar: &ProgressBar,
+) -> Result<PolicyReport, LabError> {
+    let began = Instant::now();
+    let factory = policy::factory(kind);
+    let simulation = Simulation::new(scenario, topology, plan, &*factory, seed);
+    let mut simulation = simulation.map_err(|error| LabError::Failed(error.to_string()))?;
+    simulation.run(bar);
+    bar.finish();
+    let report = simulation.report(&kind.to_string());
+    tracing::info!("{kind}: {} events in {:.1} s", report.events, began.elapsed().as_secs_f64());
+    Ok(report)
 }
--- /dev/null
+++ b/lab/src/fleet/plot.rs
@@ -0,0 +1,84 @@
+//! The time series of a play as an SVG file.
+
+use super::report::{FleetReport, PolicyReport, SecondReport};
+use crate::error::LabError;
+use plotters::coord::Shift;
+use plotters::prelude::*;
+use std::error::Error;
+use std::io;
+use std::path::Path;
+
+const SIZE: (u32, u32) = (900, 900);
+const MARGIN: u32 = 8;
+const LABEL_SPACE: u32 = 60;
+/// One color for each policy, in their order.
+const COLORS: [RGBColor; 3] = [RGBColor(31, 119, 180), RGBColor(214, 39, 40), RGBColor(44, 160, 44)];
+
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+
+/// One chart: what it shows of a second.
+struct Chart {
+    title: &'static str,
+    value: fn(&SecondReport) -> f64,
+}
+
+const CHARTS: [Chart; 3] = [
+    Chart { title: "Answered in time, part of the calls made in that second", value: in_time },
+    Chart { title: "Refused, failed or without an answer, part of the calls", value: not_served },
+    Chart { title: "Latency, 99th percentile, ms", value: |second| second.p99_ms },
+];
+
+fn part(count: u64, second: &SecondReport) -> f64 {
+    count as f64 / second.calls.offered.max(1) as f64
+}
+
+fn in_time(second: &SecondReport) -> f64 {
+    part(second.calls.in_time, second)
+}
+
+fn not_served(second: &SecondReport) -> f64 {
+    part(second.calls.refused + second.calls.failed + second.calls.timed_out, second)
+}
+
+/// Draws the time series of all policies.
+///
+/// # Errors
+/// [`LabError::Unwritable`] where the file can't be written.
+pub fn draw(report: &FleetReport, path: &Path) -> Result<(), LabError> {
+    let unwritable = |error: Box<dyn Error>| LabError::Unwritable {
+        path: path.to_owned(),
+        source: io::Error::other(error.to_string()),
+    };
+    draw_charts(report, path).map_err(unwritable)
+}
+
+fn draw_charts(report: &FleetReport, path: &Path) -> Result<(), Box<dyn Error>> {
+    let root = SVGBackend::new(path, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    for (area, chart) in root.split_evenly((CHARTS.len(), 1)).iter().zip(&CHARTS) {
+        draw_chart(area, chart, &report.policies)?;
+    }
+    root.present()?;
+    Ok(())
+}
+
+fn draw_chart(area: &Area<'_>, chart: &Chart, reports: &[PolicyReport]) -> Result<(), Box<dyn Error>> {
+    let seconds = reports.iter().map(|report| report.seconds.len()).max().unwrap_or_default();
+    let values = reports.iter().flat_map(|report| &report.seconds).map(chart.value);
+    let most = values.fold(0.0_f64, f64::max).max(f64::EPSILON) * 1.05;
+    let mut context = ChartBuilder::on(area)
+        .margin(MARGIN)
+        .caption(chart.title, ("sans-serif", 16))
+        .x_label_area_size(LABEL_SPACE / 2)
+        .y_label_area_size(LABEL_SPACE)
+        .build_cartesian_2d(0.0..seconds as f64, 0.0..most)?;
+    context.configure_mesh().x_desc("s").draw()?;
+    for (report, color) in reports.iter().zip(COLORS.iter().cycle()) {
+        let points = report.seconds.iter().map(|second| (second.second as f64 + 0.5, (chart.value)(second)));
+        let line = context.draw_series(LineSeries::new(points, color.stroke_width(2)))?;
+        let key = move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], color.stroke_width(2));
+        line.label(report.policy.clone()).legend(key);
+    }
+    context.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+    Ok(())
+}
--- /dev/null
+++ b/lab/src/fleet/simulation/mod.rs
@@ -0,0 +1,415 @@
+//! The simulation: one fleet under one policy in virtual time.
+//!
+//! Everything that takes time is an event (`SimEvent`). What clients do stands in `clients.rs`, the way of an
+//! attempt in `attempts.rs`, discovery and the timeline in `control.rs`.
+
+mod attempts;
+mod clients;
+mod control;
+
+use super::backend::{ColdStart, EmulatedBackend};
+use super::client::{ArrivalStream, ClientCall, Demand, Front, RetryBehavior};
+use super::discovery::{Call, Discovery, ProxyNumber, Reply};
+use super::events::EventQueue;
+use super::faults::Plan;
+use super::metrics::{Metrics, RunFigures};
+use super::policy::{PolicyFactory, TrueState};
+use super::proxy::{HollowProxy, ProxyLife, ToldBackend, Watcher};
+use super::random::{Stream, stream};
+use super::report::PolicyReport;
+use super::request::{Attempt, TrackedRequest};
+use super::rules::{Allowed, RuleChecker};
+use super::scenario::{FleetScenario, milliseconds, seconds};
+use super::slab::RefSlab;
+use super::topology::{Latencies, Topology};
+use indicatif::ProgressBar;
+use rand::Rng;
+use rand::rngs::SmallRng;
+use std::collections::VecDeque;
+use tillerproxy::api::{
+    Action, Backend, Event, Micros, Permissions, Readiness, ReportFields, RequestId, Safety, Settings,
+    SettingsError, Tenant,
+};
+
+/// How often the progress bar moves, in virtual time.
+const PROGRESS_EVERY: Micros = 100_000;
+/// Time that the run goes on for after the longest deadline.
+const AFTERMATH: Micros = 100_000;
+/// The place of a request that has ended.
+const NO_PLACE: u32 = u32::MAX;
+/// Positions of the values in a load report (`backend.rs`).
+const REPORT_FIELDS: ReportFields = ReportFields { active: Some(0), waiting: Some(1), avg_ms: Some(2) };
+
+/// Something that happens at a point in virtual time. Requests, attempts, calls and replies are named by their
+/// place in the simulation's tables, and the event counts as a reference to it.
+#[derive(Clone, Copy, Debug)]
+enum SimEvent {
+    /// The next call of an arrival stream.
+    Arrival { stream: u8 },
+    /// A client tries again.
+    Retry { call: u32 },
+    /// A request reaches its proxy.
+    ReachProxy { request: u32 },
+    /// The client's time for a request is up, and the slack that the rules give.
+    ClientTimeout { request: u32 },
+    /// A client leaves before its answer.
+    ClientLeaves { request: u32 },
+    /// An attempt reaches its backend.
+    ReachBackend { attempt: u32 },
+    /// A core has finished with an attempt.
+    WorkDone { attempt: u32 },
+    /// An attempt's outcome reaches its proxy.
+    ReachBack { attempt: u32 },
+    /// A proxy gives an attempt up.
+    AttemptTimeout { attempt: u32 },
+    /// A timer of a policy.
+    PolicyTimer { proxy: ProxyNumber, incarnation: u32, token: u32 },
+    /// A proxy's call reaches discovery.
+    CallArrives { proxy: ProxyNumber, serial: u32 },
+    /// Discovery handles what waits for its turn.
+    DiscoveryTurn,
+    /// The wait of a watch is over.
+    WatchOver { proxy: ProxyNumber, serial: u32 },
+    /// A reply of discovery reaches a proxy.
+    ReplyArrives { reply: u32 },
+    /// A proxy drops a call that has not been answered.
+    CallTimeout { proxy: ProxyNumber, serial: u32 },
+    /// Discovery notices the oldest change that it has not noticed.
+    Notice,
+    /// Discovery publishes what it has noticed.
+    Publish,
+    /// A change of the timeline.
+    Change { index: u32 },
+    /// The front notices whether a proxy lives.
+    FrontNotices { proxy: ProxyNumber },
+    /// The progress bar moves.
+    Progress,
+}
+
+/// One fleet under one policy.
+pub struct Simulation<'a> {
+    scenario: &'a FleetScenario,
+    factory: &'a PolicyFactory,
+    topology: &'a Topology,
+    plan: &'a Plan,
+    seed: u64,
+    settings: Settings,
+    queue: EventQueue<SimEvent>,
+    latencies: Latencies,
+    // Clients.
+    demand: Demand,
+    streams: Vec<ArrivalStream>,
+    front: Front,
+    retries: RetryBehavior,
+    calls: RefSlab<ClientCall>,
+    // Proxies and backends.
+    proxies: Vec<HollowProxy>,
+    proxy_seeds: SmallRng,
+    backends: Vec<EmulatedBackend>,
+    cold: ColdStart,
+    requests: RefSlab<TrackedRequest>,
+    /// The place of each request, by id.
+    places: Vec<u32>,
+    attempts: RefSlab<Attempt>,
+    /// Reused by every call of a policy.
+    actions: Vec<Action>,
+    partitioned: bool,
+    // Discovery.
+    discovery: Discovery,
+    /// The entries as they are, published or not.
+    entries: Vec<Backend>,
+    unnoticed: VecDeque<Backend>,
+    /// When the first change happened that is noticed and not published.
+    noticed_since: Micros,
+    turn_scheduled: bool,
+    /// The latest call of each proxy.
+    outgoing: Vec<Call>,
+    replies: RefSlab<Option<Reply>>,
+    // Measurement.
+    checker: RuleChecker,
+    metrics: Metrics,
+    events: u64,
+}
+
+/// The decision module's settings of proxy 0; the others differ in number and zone.
+fn settings(scenario: &FleetScenario, topology: &Topology, demand: &Demand) -> Settings {
+    let tenants = scenario.tenants.as_ref();
+    let tenant = |number: u16, allowance: f64| Tenant {
+        allowance_per_s: demand.tenant_share(number) * demand.rate * allowance,
+    };
+    let (permissions, safety) = (&scenario.permissions, &scenario.safety);
+    Settings {
+        me: 0,
+        balancers: scenario.fleet.proxies,
+        zone: 0,
+        zones: topology.zones,
+        kinds: scenario.kinds.len() as u8,
+        discovery_on_request: true,
+        warm_keys: false,
+        classes: scenario.classes.iter().map(super::scenario::Class::settings).collect(),
+        tenants: tenants
+            .map(|tenants| (0..tenants.count).map(|number| tenant(number, tenants.allowance)).collect())
+            .unwrap_or_default(),
+        over_share_worth: tenants.map_or(1.0, |tenants| tenants.over_share_worth),
+        cross_zone_price: permissions.cross_zone_price,
+        probe_price: 0.0,
+        report: if scenario.backends.load_reports { REPORT_FIELDS } else { ReportFields::default() },
+        report_by_probe: false,
+        permissions: Permissions {
+            max_attempts: permissions.max_attempts,
+            second_copies: permissions.second_copies,
+            cancel: permissions.cancel,
+            probes: false,
+            conn_idle: seconds(permissions.conn_idle_s),
+            multiplex: 1,
+            retry_after: Some(milliseconds(permissions.retry_after_ms)),
+        },
+        safety: Safety {
+            ask_within: seconds(safety.ask_within_s),
+            cold_from: safety.cold_from,
+            cold_time: seconds(safety.cold_time_s),
+            fall_multiple: safety.fall_multiple,
+            fall_time: seconds(safety.fall_time_s),
+        },
+    }
+}
+
+/// The entry of a backend that has run for long.
+fn entry(topology: &Topology, id: u32) -> Backend {
+    let machine = topology.machines[id as usize];
+    Backend {
+        id,
+        zone: machine.zone,
+        kind: machine.kind,
+        cell: machine.cell,
+        readiness: Readiness::Ready,
+        started: None,
+    }
+}
+
+impl<'a> Simulation<'a> {
+    /// A fleet whose proxies all hold the whole list, before its first request.
+    ///
+    /// # Errors
+    /// Where the policy does not take its settings.
+    pub fn new(
+        scenario: &'a FleetScenario,
+        topology: &'a Topology,
+        plan: &'a Plan,
+        factory: &'a PolicyFactory,
+        seed: u64,
+    ) -> Result<Self, SettingsError> {
+        let demand = Demand::new(scenario, topology);
+        let entries: Vec<Backend> =
+            (0..topology.machines.len() as u32).map(|id| entry(topology, id)).collect();
+        let queue_limit = scenario.backends.queue;
+        let safety = &scenario.safety;
+        let duration = seconds(scenario.duration_s);
+        let proxies = topology.proxies.len();
+        let allowed = Allowed {
+            max_attempts: scenario.permissions.max_attempts,
+            second_copies: scenario.permissions.second_copies,
+            drain_grace: seconds(safety.drain_grace_s),
+        };
+        let mut simulation = Self {
+            scenario,
+            factory,
+            topology,
+            plan,
+            seed,
+            settings: settings(scenario, topology, &demand),
+            queue: EventQueue::new(),
+            latencies: Latencies::new(topology, &scenario.network, seed),
+            streams: vec![ArrivalStream::new(demand.rate, duration, None, seed, 0)],
+            demand,
+            front: Front::new(topology),
+            retries: RetryBehavior::new(&scenario.clients, seed),
+            calls: RefSlab::new(),
+            proxies: Vec::with_capacity(proxies),
+            proxy_seeds: stream(seed, Stream::Proxies, 0),
+            backends: topology
+                .machines
+                .iter()
+                .map(|&machine| EmulatedBackend::new(machine, queue_limit))
+                .collect(),
+            cold: ColdStart {
+                from: safety.cold_from,
+                time: seconds(safety.cold_time_s),
+                fall_multiple: safety.fall_multiple,
+                fall_time: seconds(safety.fall_time_s),
+                mean_work: milliseconds(scenario.mean_work_ms()) as f64,
+            },
+            requests: RefSlab::new(),
+            places: Vec::new(),
+            attempts: RefSlab::new(),
+            actions: Vec::new(),
+            partitioned: false,
+            discovery: Discovery::new(&scenario.discovery, entries.clone(), proxies),
+            entries,
+            unnoticed: VecDeque::new(),
+            noticed_since: 0,
+            turn_scheduled: false,
+            outgoing: Vec::with_capacity(proxies),
+            replies: RefSlab::new(),
+            checker: RuleChecker::new(allowed),
+            metrics: Metrics::new(duration, seconds(scenario.warmup_s), scenario.classes.len(), proxies),
+            events: 0,
+        };
+        simulation.start_proxies()?;
+        simulation.schedule_start();
+        Ok(simulation)
+    }
+
+    fn start_proxies(&mut self) -> Result<(), SettingsError> {
+        let list = self.entries.clone();
+        let told = ToldBackend { readiness: Readiness::Ready, started: None, barred_at: None };
+        for (number, place) in (0..).zip(&self.topology.proxies) {
+            let settings = Settings { me: u32::from(number), zone: place.zone, ..self.settings.clone() };
+            let policy = (self.factory)(settings, self.proxy_seeds.random(), 0)?;
+            let mut watcher = Watcher::new(number, self.settings.balancers);
+            watcher.revision = Some(self.discovery.revision());
+            self.proxies.push(HollowProxy {
+                zone: place.zone,
+                life: ProxyLife::Up,
+                incarnation: 1,
+                policy,
+                watcher,
+                told: vec![told; list.len()],
+            });
+            self.outgoing.push(Call { proxy: number, serial: 0, after: None, wait: 0, continues: false });
+            self.begin_policy(number, &list);
+        }
+        Ok(())
+    }
+
+    fn schedule_start(&mut self) {
+        if self.scenario.discovery.standing_watches {
+            self.open_standing_watches();
+        }
+        for (index, &(at, _)) in (0..).zip(&self.plan.changes) {
+            self.queue.push(at, SimEvent::Change { index });
+        }
+        self.schedule_arrival(0);
+        self.queue.push(0, SimEvent::Progress);
+    }
+
+    /// Plays the scenario to its end and until all requests have ended.
+    pub fn run(&mut self, progress: &ProgressBar) {
+        let deadline = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+        let end = seconds(self.scenario.duration_s) + deadline + AFTERMATH;
+        progress.set_length(end / 1_000);
+        while let Some((now, event)) = self.queue.pop() {
+            if now > end {
+                break;
+            }
+            self.events += 1;
+            if matches!(event, SimEvent::Progress) {
+                progress.set_position(now / 1_000);
+                self.queue.push_after(PROGRESS_EVERY, SimEvent::Progress);
+            } else {
+                self.on_event(now, event);
+            }
+        }
+    }
+
+    fn on_event(&mut self, now: Micros, event: SimEvent) {
+        match event {
+            SimEvent::Arrival { stream } => self.on_arrival(now, stream),
+            SimEvent::Retry { call } => self.on_retry(now, call),
+            SimEvent::ReachProxy { request } => self.on_reach_proxy(now, request),
+            SimEvent::ClientTimeout { request } => self.on_client_timeout(now, request),
+            SimEvent::ClientLeaves { request } => self.on_client_leaves(now, request),
+            SimEvent::ReachBackend { attempt } => self.on_reach_backend(now, attempt),
+            SimEvent::WorkDone { attempt } => self.on_work_done(now, attempt),
+            SimEvent::ReachBack { attempt } => self.on_reach_back(now, attempt),
+            SimEvent::AttemptTimeout { attempt } => self.on_attempt_timeout(now, attempt),
+            SimEvent::PolicyTimer { proxy, incarnation, token } => {
+                self.on_policy_timer(now, proxy, incarnation, token);
+            }
+            SimEvent::CallArrives { proxy, serial } => self.on_call_arrives(now, proxy, serial),
+            SimEvent::DiscoveryTurn => self.on_discovery_turn(now),
+            SimEvent::WatchOver { proxy, serial } => self.on_watch_over(now, proxy, serial),
+            SimEvent::ReplyArrives { reply } => self.on_reply(now, reply),
+            SimEvent::CallTimeout { proxy, serial } => self.on_call_timeout(now, proxy, serial),
+            SimEvent::Notice => self.on_notice(now),
+            SimEvent::Publish => self.on_publish(now),
+            SimEvent::Change { index } => self.on_change(now, index),
+            SimEvent::FrontNotices { proxy } => self.on_front_notices(proxy),
+            SimEvent::Progress => {}
+        }
+    }
+
+    /// Gives an event to a proxy's policy and carries out what it decides.
+    fn tell_policy(&mut self, now: Micros, proxy: ProxyNumber, event: Event<'_>) {
+        let mut actions = std::mem::take(&mut self.actions);
+        let truth: &dyn TrueState = &self.backends;
+        self.proxies[usize::from(proxy)].policy.handle(now, event, truth, &mut actions);
+        for action in actions.drain(..) {
+            self.carry_out(now, proxy, action);
+        }
+        self.actions = actions;
+    }
+
+    fn carry_out(&mut self, now: Micros, proxy: ProxyNumber, action: Action) {
+        match action {
+            Action::Send { request, backend, give_up_at, .. } => {
+                self.send(now, request, backend, give_up_at);
+            }
+            Action::Refuse { request, retry_after } => self.answer(now, request, Some(retry_after)),
+            Action::Fail { request } => self.answer(now, request, None),
+            Action::Cancel { request, attempt } => self.cancel(now, request, attempt),
+            Action::SetTimer { after, token } => {
+                let incarnation = self.proxies[usize::from(proxy)].incarnation;
+                self.queue.push_after(after, SimEvent::PolicyTimer { proxy, incarnation, token });
+            }
+            Action::Subscribe => {
+                if let Some(outgoing) = self.proxies[usize::from(proxy)].watcher.subscribe() {
+                    self.call_discovery(outgoing);
+                }
+            }
+            // Probes are not permitted; connections are not emulated one by one.
+            Action::Probe(_) | Action::CloseIdle(_) => {}
+            Action::Log(line) => tracing::trace!(proxy, "{line}"),
+        }
+    }
+
+    fn on_policy_timer(&mut self, now: Micros, proxy: ProxyNumber, incarnation: u32, token: u32) {
+        let target = &self.proxies[usize::from(proxy)];
+        if target.life == ProxyLife::Up && target.incarnation == incarnation {
+            self.tell_policy(now, proxy, Event::Timer(token));
+        }
+    }
+
+    /// The place of a request that has not ended, attempts and all.
+    fn place_of(&self, request: RequestId) -> Option<u32> {
+        self.places.get(request as usize).copied().filter(|&place| place != NO_PLACE)
+    }
+
+    fn release_request(&mut self, request: u32) {
+        let TrackedRequest { id, call, .. } = self.requests[request];
+        if self.requests.release(request) {
+            self.places[id as usize] = NO_PLACE;
+            self.calls.release(call);
+        }
+    }
+
+    fn release_attempt(&mut self, attempt: u32) {
+        let request = self.attempts[attempt].request;
+        if self.attempts.release(attempt) {
+            self.release_request(request);
+        }
+    }
+
+    /// What was measured.
+    #[must_use]
+    pub fn report(&self, policy: &str) -> PolicyReport {
+        self.metrics.report(RunFigures {
+            policy: policy.to_owned(),
+            class_names: self.scenario.classes.iter().map(|class| class.name.clone()).collect(),
+            taken: self.backends.iter().map(|backend| backend.arrived).collect(),
+            rules: self.checker.counts,
+            events: self.events,
+            elapsed: self.queue.now(),
+        })
+    }
+}
--- a/lab/tests/fleet/discovery.rs
+++ b/lab/tests/fleet/discovery.rs
@@ -2,6 +2,7 @@
 
 use tillerproxy::api::{Backend, Readiness};
 use tillerproxy_lab::fleet::discovery::{Answer, Call, Discovery, Received, Reply};
+use tillerproxy_lab::fleet::proxy::Watcher;
 use tillerproxy_lab::fleet::scenario;
 
 fn entry(id: u32, readiness: Readiness) -> Backend {
@@ -88,3 +89,22 @@
     assert!(discovery.publish().is_empty());
     assert!(discovery.end_wait(0, 1).is_none());
 }
+
+#[test]
+fn a_watcher_has_one_call_out_and_continues_its_watch_after_an_answer() {
+    let mut watcher = Watcher::new(0, 3);
+    watcher.revision = Some(7);
+    let first = watcher.subscribe().expect("no call is out");
+    assert_eq!((first.call.after, first.call.wait, first.call.continues), (Some(7), 250_000, false));
+    assert!(watcher.subscribe().is_none(), "one call at a time");
+    assert!(!watcher.take_answer(first.call.serial + 1), "an answer to no call of its own");
+    assert!(watcher.take_answer(first.call.serial));
+    let second = watcher.answered(9);
+    assert_eq!((second.call.after, second.call.continues), (Some(9), true));
+    assert!(watcher.take_answer(second.call.serial));
+    watcher.failed();
+    let third = watcher.subscribe().expect("no call is out");
+    assert!(!third.call.continues, "a call after a failure begins a watch anew");
+    watcher.restart();
+    assert!(!watcher.take_answer(third.call.serial), "calls of a former life are void");
+}
