Count calls beyond a tenant's allowance at their lower worth in the emulated fleet

The worth of a play weighed a surging tenant's calls like all others, although settings say that they are worth a part of it. A token bucket for each tenant, over all proxies, now decides the worth of a call when it is made. The event queue's passed slots hand their memory to later ones, surges are numbered without a bound, the table shows discovery's bytes for one proxy in the peak second, and the module's page says what is not emulated.

--- a/lab/src/fleet/client.rs
+++ b/lab/src/fleet/client.rs
@@ -22,6 +22,8 @@
     pub key: u64,
     /// Work, microseconds on a core of speed 1.
     pub work: f64,
+    /// Worth of its answer in time; less than its class's beyond its tenant's allowance.
+    pub worth: f64,
     /// When it was first made.
     pub born: Micros,
     /// Tries so far.
@@ -148,6 +150,7 @@
             zone: random.random_range(0..self.zones),
             key: random.random(),
             work: self.works[class].draw(random),
+            worth: 0.0,
             born: now,
             tries: 0,
             way: random.random(),
@@ -158,6 +161,51 @@
     }
 }
 
+/// Time's worth of its allowance that a tenant may ask for at once, seconds, and the least that it may, calls.
+const ALLOWANCE_BURST_S: f64 = 0.5;
+const LEAST_BURST: f64 = 10.0;
+
+/// What tenants may ask for over all proxies: a token bucket for each.
+#[derive(Clone, Debug)]
+pub struct Allowances {
+    buckets: Vec<AllowanceBucket>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct AllowanceBucket {
+    rate: f64,
+    tokens: f64,
+    filled_at: Micros,
+}
+
+impl AllowanceBucket {
+    fn most(&self) -> f64 {
+        (self.rate * ALLOWANCE_BURST_S).max(LEAST_BURST)
+    }
+}
+
+impl Allowances {
+    /// Full buckets of these rates, calls a second; without any, no tenant has a limit.
+    #[must_use]
+    pub fn new(rates: impl Iterator<Item = f64>) -> Self {
+        let full = |rate| {
+            let bucket = AllowanceBucket { rate, tokens: 0.0, filled_at: 0 };
+            AllowanceBucket { tokens: bucket.most(), ..bucket }
+        };
+        Self { buckets: rates.map(full).collect() }
+    }
+
+    /// Whether a call of a tenant lies within its allowance; takes it from there.
+    pub fn take(&mut self, now: Micros, tenant: u16) -> bool {
+        let Some(bucket) = self.buckets.get_mut(usize::from(tenant)) else { return true };
+        let grown = bucket.tokens + bucket.rate * (now - bucket.filled_at) as f64 / 1e6;
+        (bucket.tokens, bucket.filled_at) = (grown.min(bucket.most()), now);
+        let within = bucket.tokens >= 1.0;
+        bucket.tokens -= f64::from(u8::from(within));
+        within
+    }
+}
+
 /// Calls that come at random, without regard to answers (a Poisson process).
 #[derive(Debug)]
 pub struct ArrivalStream {
--- a/lab/src/fleet/events.rs
+++ b/lab/src/fleet/events.rs
@@ -53,6 +53,8 @@
     slot: u64,
     wheel: Vec<Vec<Entry<T>>>,
     in_wheel: usize,
+    /// Empty vectors of slots that have passed: they keep their memory for others.
+    spare: Vec<Vec<Entry<T>>>,
     /// Events beyond the wheel's horizon.
     far: BinaryHeap<Entry<T>>,
 }
@@ -68,6 +70,7 @@
             slot: 0,
             wheel: (0..SLOTS).map(|_| Vec::new()).collect(),
             in_wheel: 0,
+            spare: Vec::new(),
             far: BinaryHeap::new(),
         }
     }
@@ -99,7 +102,11 @@
         if slot <= self.slot {
             self.near.push(entry);
         } else if slot - self.slot < SLOTS as u64 {
-            self.wheel[slot as usize % SLOTS].push(entry);
+            let entries = &mut self.wheel[slot as usize % SLOTS];
+            if entries.capacity() == 0 {
+                *entries = self.spare.pop().unwrap_or_default();
+            }
+            entries.push(entry);
             self.in_wheel += 1;
         } else {
             self.far.push(entry);
@@ -131,9 +138,12 @@
             Some(slot) if self.in_wheel == 0 => slot,
             _ => self.slot + 1,
         };
-        let due = &mut self.wheel[self.slot as usize % SLOTS];
+        let mut due = std::mem::take(&mut self.wheel[self.slot as usize % SLOTS]);
         self.in_wheel -= due.len();
         self.near.extend(due.drain(..));
+        if due.capacity() > 0 {
+            self.spare.push(due);
+        }
         while self.far.peek().is_some_and(|entry| entry.at >> SLOT_BITS <= self.slot) {
             self.near.extend(self.far.pop());
         }
--- a/lab/src/fleet/faults.rs
+++ b/lab/src/fleet/faults.rs
@@ -40,7 +40,7 @@
     /// A proxy's watch falls silent.
     SilenceWatch(ProxyNumber),
     /// A tenant's surge begins: its number among the surges.
-    Surge(u8),
+    Surge(u32),
     /// A traffic shift begins or ends.
     Shift(TrafficShift, bool),
 }
@@ -112,7 +112,7 @@
                 self.config_burst(topology, random, at, entries, over_s);
             }
             TimelineEvent::TenantSurge { for_s, tenant, multiple, .. } => {
-                self.push(at, Change::Surge(self.surges.len() as u8));
+                self.push(at, Change::Surge(self.surges.len() as u32));
                 self.surges.push(Surge { tenant, until: at + seconds(for_s), multiple });
             }
             TimelineEvent::BackendSlow { for_s, fraction, factor, .. } => {
--- a/lab/src/fleet/metrics.rs
+++ b/lab/src/fleet/metrics.rs
@@ -1,5 +1,6 @@
 //! What a run is measured by.
 
+use super::client::ClientCall;
 use super::discovery::{ProxyNumber, Revision, Traffic};
 use super::report::{
     AttemptCounts, BackendLoad, CallCounts, ChangeSpread, ClassMetrics, DiscoveryReport, NamedClass,
@@ -134,26 +135,26 @@
         }
     }
 
-    /// A call has ended that was first made at `born`.
-    pub fn on_call_end(&mut self, born: Micros, class: u8, worth: f64, late_worth: f64, end: CallEnd) {
+    /// A call has ended; after its aim `late_worth` of its worth is left.
+    pub fn on_call_end(&mut self, call: &ClientCall, late_worth: f64, end: CallEnd) {
         let last = self.seconds.len() - 1;
-        let second = &mut self.seconds[((born / SECOND) as usize).min(last)];
+        let second = &mut self.seconds[((call.born / SECOND) as usize).min(last)];
         second.calls.add(end);
         if let CallEnd::Served { latency, .. } = end {
             second.latency.saturating_record(latency);
         }
-        if born < self.warmup {
+        if call.born < self.warmup {
             return;
         }
-        let class = &mut self.classes[usize::from(class)];
+        let class = &mut self.classes[usize::from(call.class)];
         class.calls.add(end);
         if end == CallEnd::Left {
             return;
         }
-        class.offered_worth += worth;
+        class.offered_worth += call.worth;
         if let CallEnd::Served { latency, in_time } = end {
             self.latency.saturating_record(latency);
-            class.earned_worth += worth * if in_time { 1.0 } else { late_worth };
+            class.earned_worth += call.worth * if in_time { 1.0 } else { late_worth };
         }
     }
 
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -3,6 +3,10 @@
 //! Every proxy hosts the real decision module with its own settings, state and seed. Backends, discovery, networks
 //! and clients are emulated by a discrete-event simulation that depends on its seed alone. Beside the module two
 //! baselines are played on the same arrivals and events.
+//!
+//! What is not emulated: processor time of the proxies, single connections and their setup, streamed answers, probes,
+//! services (every backend serves every request), and the rule that a proxy which has not asked for long counts as
+//! informed: rules 3 and 4 go by what discovery has in fact told it.
 
 pub mod backend;
 pub mod client;
--- a/lab/src/fleet/simulation/clients.rs
+++ b/lab/src/fleet/simulation/clients.rs
@@ -9,25 +9,29 @@
 use tillerproxy::api::{Event, Micros, Request, RequestId};
 
 impl Simulation<'_> {
-    pub(super) fn schedule_arrival(&mut self, stream: u8) {
+    pub(super) fn schedule_arrival(&mut self, stream: u32) {
         let now = self.queue.now();
-        if let Some(at) = self.streams[usize::from(stream)].next_after(now) {
+        if let Some(at) = self.streams[stream as usize].next_after(now) {
             self.queue.push(at, SimEvent::Arrival { stream });
         }
     }
 
     /// A tenant's surge begins: a further stream of arrivals.
-    pub(super) fn begin_surge(&mut self, number: u8) {
-        let surge = self.plan.surges[usize::from(number)];
+    pub(super) fn begin_surge(&mut self, number: u32) {
+        let surge = self.plan.surges[number as usize];
         let rate = self.demand.rate * self.demand.tenant_share(surge.tenant) * (surge.multiple - 1.0);
         let index = self.streams.len();
         let tenant = Some(surge.tenant);
         self.streams.push(ArrivalStream::new(rate, surge.until, tenant, self.seed, u64::from(number) + 1));
-        self.schedule_arrival(index as u8);
+        self.schedule_arrival(index as u32);
     }
 
-    pub(super) fn on_arrival(&mut self, now: Micros, stream: u8) {
-        let call = self.streams[usize::from(stream)].draw(now, &self.demand);
+    pub(super) fn on_arrival(&mut self, now: Micros, stream: u32) {
+        let mut call = self.streams[stream as usize].draw(now, &self.demand);
+        call.worth = self.scenario.classes[usize::from(call.class)].worth;
+        if !self.allowances.take(now, call.tenant) {
+            call.worth *= self.settings.over_share_worth;
+        }
         self.schedule_arrival(stream);
         let place = self.calls.insert(call, 1);
         self.begin_try(now, place, call.way);
@@ -179,7 +183,7 @@
         }
         call.ended = true;
         let class = &self.scenario.classes[usize::from(call.class)];
-        self.metrics.on_call_end(call.born, call.class, class.worth, class.late_worth, end);
+        self.metrics.on_call_end(call, class.late_worth, end);
     }
 
     /// Whether the proxy that took a request still lives.
--- a/lab/src/fleet/simulation/mod.rs
+++ b/lab/src/fleet/simulation/mod.rs
@@ -8,7 +8,7 @@
 mod control;
 
 use super::backend::{ColdStart, EmulatedBackend};
-use super::client::{ArrivalStream, ClientCall, Demand, Front, RetryBehavior};
+use super::client::{Allowances, ArrivalStream, ClientCall, Demand, Front, RetryBehavior};
 use super::discovery::{Call, Discovery, ProxyNumber, Reply};
 use super::events::EventQueue;
 use super::faults::Plan;
@@ -45,7 +45,7 @@
 #[derive(Clone, Copy, Debug)]
 enum SimEvent {
     /// The next call of an arrival stream.
-    Arrival { stream: u8 },
+    Arrival { stream: u32 },
     /// A client tries again.
     Retry { call: u32 },
     /// A request reaches its proxy.
@@ -98,6 +98,7 @@
     latencies: Latencies,
     // Clients.
     demand: Demand,
+    allowances: Allowances,
     streams: Vec<ArrivalStream>,
     front: Front,
     retries: RetryBehavior,
@@ -211,13 +212,15 @@
             second_copies: scenario.permissions.second_copies,
             drain_grace: seconds(safety.drain_grace_s),
         };
+        let settings = settings(scenario, topology, &demand);
         let mut simulation = Self {
             scenario,
             factory,
             topology,
             plan,
             seed,
-            settings: settings(scenario, topology, &demand),
+            allowances: Allowances::new(settings.tenants.iter().map(|tenant| tenant.allowance_per_s)),
+            settings,
             queue: EventQueue::new(),
             latencies: Latencies::new(topology, &scenario.network, seed),
             streams: vec![ArrivalStream::new(demand.rate, duration, None, seed, 0)],
--- a/lab/src/fleet/table.rs
+++ b/lab/src/fleet/table.rs
@@ -75,7 +75,10 @@
             let discovery = &r.discovery;
             format!("{:.2}, {:.2}", discovery.bytes as f64 / 1e6, discovery.peak_second_bytes as f64 / 1e6)
         })?;
-        self.row(f, "  bytes a second for one proxy", |r| format!("{:.0}", r.discovery.bytes_per_proxy_s))
+        self.row(f, "  bytes a second for one proxy: mean, peak", |r| {
+            let peak = r.discovery.peak_second_bytes as f64 / self.proxies as f64;
+            format!("{:.0}, {peak:.0}", r.discovery.bytes_per_proxy_s)
+        })
     }
 
     fn write_rules(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/lab/tests/fleet/plays.rs
+++ b/lab/tests/fleet/plays.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use tillerproxy_lab::fleet::play;
 use tillerproxy_lab::fleet::policy::PolicyKind;
-use tillerproxy_lab::fleet::report::FleetReport;
+use tillerproxy_lab::fleet::report::{FleetReport, PolicyReport};
 use tillerproxy_lab::fleet::scenario::FleetScenario;
 use tillerproxy_lab::scenario;
 
@@ -118,9 +118,16 @@
 #[test]
 fn a_surge_adds_calls_of_one_tenant() {
     let quiet = play_event("");
-    let surge = "[[event]]\nkind = \"tenant_surge\"\nat_s = 0.5\nfor_s = 2.0\ntenant = 0\nmultiple = 1.5\n";
+    let surge = "[[event]]\nkind = \"tenant_surge\"\nat_s = 0.5\nfor_s = 2.0\ntenant = 0\nmultiple = 2.5\n";
     let surge = play_event(surge);
-    assert!(surge.policies[0].calls.offered > quiet.policies[0].calls.offered * 11 / 10);
+    let (quiet, surge) = (&quiet.policies[0], &surge.policies[0]);
+    assert!(surge.calls.offered > quiet.calls.offered * 11 / 10);
+    let worth_of_a_read = |policy: &PolicyReport| {
+        let reads = &policy.classes[0].metrics;
+        reads.offered_worth / reads.calls.offered as f64
+    };
+    assert_eq!(worth_of_a_read(quiet), 1.0);
+    assert!(worth_of_a_read(surge) < 0.95, "beyond the allowance a call is worth less");
 }
 
 #[test]
