Let the emulated fleet's arrivals keep their rate where gaps are short

Gaps between arrivals were cut to whole microseconds one by one. At 200,000 calls a second, with gaps of 5 us in the mean, that made the load 10.7% greater than the scenario says (2,218,674 tries in 10 s under two choices, where 2,003,340 calls were due), and 2% at a fifth of the size. Arrivals now keep their exact time and are rounded only when they are queued.

--- a/lab/src/fleet/client.rs
+++ b/lab/src/fleet/client.rs
@@ -215,21 +215,23 @@
     until: Micros,
     /// Whose calls they are; drawn for each where it is missing.
     tenant: Option<u16>,
+    /// The exact time of the latest arrival, microseconds: gaps may be shorter than a microsecond.
+    latest: f64,
     random: SmallRng,
 }
 
 impl ArrivalStream {
-    /// A stream of `rate` calls a second; `index` tells the streams of a run apart.
+    /// A stream of `rate` calls a second that begins at `from`; `index` tells the streams of a run apart.
     #[must_use]
-    pub fn new(rate: f64, until: Micros, tenant: Option<u16>, seed: u64, index: u64) -> Self {
-        Self { rate, until, tenant, random: stream(seed, Stream::Arrivals, index) }
+    pub fn new(rate: f64, from: Micros, until: Micros, tenant: Option<u16>, seed: u64, index: u64) -> Self {
+        Self { rate, until, tenant, latest: from as f64, random: stream(seed, Stream::Arrivals, index) }
     }
 
-    /// The time of the arrival after `now`, if there is one before the end.
-    pub fn next_after(&mut self, now: Micros) -> Option<Micros> {
+    /// The time of the next arrival, if there is one before the end.
+    pub fn next_arrival(&mut self) -> Option<Micros> {
         let gap: f64 = self.random.sample(Exp1);
-        let at = now + (gap * 1e6 / self.rate) as Micros;
-        (at < self.until).then_some(at)
+        self.latest += gap * 1e6 / self.rate;
+        (self.latest < self.until as f64).then_some(self.latest as Micros)
     }
 
     /// Draws the call that arrives now.
--- a/lab/src/fleet/simulation/clients.rs
+++ b/lab/src/fleet/simulation/clients.rs
@@ -10,19 +10,18 @@
 
 impl Simulation<'_> {
     pub(super) fn schedule_arrival(&mut self, stream: u32) {
-        let now = self.queue.now();
-        if let Some(at) = self.streams[stream as usize].next_after(now) {
+        if let Some(at) = self.streams[stream as usize].next_arrival() {
             self.queue.push(at, SimEvent::Arrival { stream });
         }
     }
 
     /// A tenant's surge begins: a further stream of arrivals.
-    pub(super) fn begin_surge(&mut self, number: u32) {
+    pub(super) fn begin_surge(&mut self, now: Micros, number: u32) {
         let surge = self.plan.surges[number as usize];
         let rate = self.demand.rate * self.demand.tenant_share(surge.tenant) * (surge.multiple - 1.0);
         let index = self.streams.len();
-        let tenant = Some(surge.tenant);
-        self.streams.push(ArrivalStream::new(rate, surge.until, tenant, self.seed, u64::from(number) + 1));
+        let (until, tenant) = (surge.until, Some(surge.tenant));
+        self.streams.push(ArrivalStream::new(rate, now, until, tenant, self.seed, u64::from(number) + 1));
         self.schedule_arrival(index as u32);
     }
 
--- a/lab/src/fleet/simulation/control.rs
+++ b/lab/src/fleet/simulation/control.rs
@@ -193,7 +193,7 @@
                 self.metrics.on_discovery(now, self.discovery.traffic);
             }
             Change::SilenceWatch(proxy) => self.discovery.silence(proxy),
-            Change::Surge(number) => self.begin_surge(number),
+            Change::Surge(number) => self.begin_surge(now, number),
             Change::Shift(shift, true) => self.front.shifts.push(shift),
             Change::Shift(shift, false) => self.front.shifts.retain(|&other| other != shift),
         }
--- a/lab/src/fleet/simulation/mod.rs
+++ b/lab/src/fleet/simulation/mod.rs
@@ -223,7 +223,7 @@
             settings,
             queue: EventQueue::new(),
             latencies: Latencies::new(topology, &scenario.network, seed),
-            streams: vec![ArrivalStream::new(demand.rate, duration, None, seed, 0)],
+            streams: vec![ArrivalStream::new(demand.rate, 0, duration, None, seed, 0)],
             demand,
             front: Front::new(topology),
             retries: RetryBehavior::new(&scenario.clients, seed),
--- a/lab/tests/fleet/main.rs
+++ b/lab/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! The emulated fleet: its machines, its rules and whole plays of small scenarios.
 
 mod backend;
+mod client;
 mod command_line;
 mod discovery;
 mod events;
