Add the lab's live experiment: real and hollow proxies before one discovery stand-in

Cause: what a proxy takes at the size that is planned for was measured by hand, one process at a time.

Change: `tillerproxy-lab live SCENARIO` starts real processes beside hollow proxies, which follow discovery on the schedule of the program and share the lab's process. A stand-in speaks the discovery protocol (whole lists, watches, turns, notice, 503, resets and refusals) and serves each answer from one serialized copy. Emulated backends answer with the time that they took, so that the time added by a proxy is told from it and compared with direct calls of the same phase. Phases: rest, single changes, a zone's loss, a reload, an outage, idle connections, a restart. Processor time, memory, descriptors and bytes of discovery are read for each process and phase. Whatever way the lab ends, its processes are killed and waited for. The first run of the tests found some still there after an interrupted start: they were killed and not waited for.

--- /dev/null
+++ b/lab/src/live/backends.rs
@@ -0,0 +1,67 @@
+//! Emulated backends: small HTTP/1.1 servers on loopback, each request taking the same time.
+//!
+//! The body of an answer is the time that the backend took, in microseconds, so that a client can tell it
+//! from the time that was added on the way.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+
+/// Starts so many backends; their addresses.
+///
+/// # Errors
+/// Where no port is left.
+pub async fn start(count: u32, service_time: Duration) -> io::Result<Vec<SocketAddr>> {
+    let mut addresses = Vec::new();
+    for _ in 0..count {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        addresses.push(listener.local_addr()?);
+        tokio::spawn(accept(listener, service_time));
+    }
+    Ok(addresses)
+}
+
+async fn accept(listener: TcpListener, service_time: Duration) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(stream, service_time));
+            }
+            Err(error) => {
+                tracing::warn!("a backend's accept: {error}");
+                sleep(ACCEPT_BACKOFF).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, service_time: Duration) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| answer(request, service_time));
+    // How a connection ends matters only to who opened it.
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    service_time: Duration,
+) -> Result<Response<Full<Bytes>>, hyper::Error> {
+    request.into_body().collect().await?;
+    let began = Instant::now();
+    if !service_time.is_zero() {
+        sleep(service_time).await;
+    }
+    let took = began.elapsed().as_micros().to_string();
+    Ok(Response::new(Full::new(Bytes::from(took))))
+}
--- /dev/null
+++ b/lab/src/live/hollow.rs
@@ -0,0 +1,280 @@
+//! Hollow proxies: tasks that speak the discovery protocol as the real program does, and serve nobody.
+//!
+//! They follow the schedule of `tillerproxy::proxy::discovery` (waits, time-outs, continued watches) and that
+//! of the decision module (when a call is made again). Of an answer they read only the revision.
+
+use super::counted::{CountedStream, Side, Traffic};
+use super::scenario::DiscoveryMode;
+use super::spread::SpreadTracker;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tillerproxy::proxy::discovery::Asked;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+/// `PUSHED_WAIT` of the proxy: how long a watch waits where discovery is pushed.
+const PUSHED_WAIT: Duration = Duration::from_secs(3);
+/// `FIRST_WAIT` of the proxy: the wait of a call that begins a watch.
+const FIRST_WAIT: Duration = Duration::from_millis(250);
+/// `CALL_TIMEOUT` of the proxy: how long a call that waits for its turn takes in all.
+const CALL_TIMEOUT: Duration = Duration::from_millis(3_500);
+/// `SILENT_AFTER` of the proxy: how late the answer to a standing watch may be.
+const ANSWER_GRACE: Duration = Duration::from_millis(250);
+/// `AGENT_BACKOFF` of the proxy: how soon a failed call is made again where discovery is pushed.
+const PUSHED_BACKOFF: Duration = Duration::from_millis(100);
+/// `FIRST_CALL_EVERY` of the decision module: the fleet's first calls are spread to one in this time.
+const FIRST_CALL_EVERY: Duration = Duration::from_millis(20);
+/// `CALL_EVERY` of the decision module: the same for calls that are made again.
+const CALL_EVERY: Duration = Duration::from_millis(200);
+/// `CALL_TAKES` of the decision module: kept free of the span over which calls are spread.
+const CALL_TAKES: Duration = Duration::from_secs(8);
+/// First pause after a failed call; it doubles with each failure, [`BACKOFF_DOUBLINGS`] times at the most.
+const FIRST_BACKOFF: Duration = Duration::from_millis(125);
+const BACKOFF_DOUBLINGS: u32 = 4;
+/// Bytes of an answer in which its revision is looked for.
+const REVISION_WITHIN: usize = 64;
+
+/// What a hollow proxy is told at its start.
+#[derive(Clone, Debug)]
+pub struct HollowSettings {
+    /// Its number in the fleet and in the spread tracker.
+    pub me: u32,
+    /// Proxies of the fleet.
+    pub proxies: u32,
+    /// How discovery is reached.
+    pub mode: DiscoveryMode,
+    /// `safety.askWithinUs` of the settings.
+    pub ask_within: Duration,
+    /// The revision of the list that it starts with.
+    pub revision: Option<u64>,
+    /// Seed of its random numbers.
+    pub seed: u64,
+}
+
+/// Why a call brought nothing.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CallError {
+    /// It failed.
+    Failed,
+    /// Nothing came in time.
+    Unresponsive,
+}
+
+/// When calls are made: as the proxy and its decision module do.
+#[derive(Debug)]
+pub struct CallSchedule {
+    settings: HollowSettings,
+    /// The wait of a continued watch in mode `ask`.
+    asked_wait: Duration,
+    failures: u32,
+    rng: SmallRng,
+}
+
+impl CallSchedule {
+    /// The schedule of a proxy that has made no call.
+    #[must_use]
+    pub fn new(settings: HollowSettings) -> Self {
+        let (_, calls) = mpsc::unbounded_channel();
+        let asked_wait = Asked::new(calls, settings.me, settings.proxies).wait;
+        let rng = SmallRng::seed_from_u64(settings.seed);
+        Self { settings, asked_wait, failures: 0, rng }
+    }
+
+    /// Time from the start to the first call.
+    pub fn first(&mut self) -> Duration {
+        match self.settings.mode {
+            DiscoveryMode::Push => Duration::ZERO,
+            DiscoveryMode::Ask => self.spread(Duration::ZERO, FIRST_CALL_EVERY),
+        }
+    }
+
+    /// Time from a call that failed to the next one.
+    pub fn after_failure(&mut self) -> Duration {
+        if self.settings.mode == DiscoveryMode::Push {
+            return PUSHED_BACKOFF;
+        }
+        let wait = FIRST_BACKOFF * (1 << self.failures.min(BACKOFF_DOUBLINGS));
+        self.failures += 1;
+        self.spread(wait, CALL_EVERY)
+    }
+
+    /// A call brought an answer.
+    pub fn succeeded(&mut self) {
+        self.failures = 0;
+    }
+
+    /// How long a watch is asked to wait, and how long its answer may take.
+    #[must_use]
+    pub fn watch(&self, is_continued: bool) -> (Duration, Duration) {
+        match self.settings.mode {
+            DiscoveryMode::Push => (PUSHED_WAIT, PUSHED_WAIT + ANSWER_GRACE),
+            DiscoveryMode::Ask if is_continued => (self.asked_wait, self.asked_wait + ANSWER_GRACE),
+            DiscoveryMode::Ask => (FIRST_WAIT, CALL_TIMEOUT),
+        }
+    }
+
+    /// `wait` from now, and at random in the time that the whole fleet takes at one call `every` so long.
+    fn spread(&mut self, wait: Duration, every: Duration) -> Duration {
+        let most = (self.settings.ask_within * 4).saturating_sub(CALL_TAKES).max(Duration::from_secs(1));
+        let wait = wait.min(most);
+        let span = wait.max(every * self.settings.proxies.saturating_sub(1)).min(most);
+        wait + span.mul_f64(self.rng.random())
+    }
+}
+
+/// A connection to discovery.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Empty<Bytes>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// One hollow proxy.
+#[derive(Debug)]
+pub struct HollowProxy {
+    me: usize,
+    addresses: watch::Receiver<SocketAddr>,
+    traffic: Arc<Traffic>,
+    tracker: Arc<SpreadTracker>,
+    schedule: CallSchedule,
+    connection: Option<Connection>,
+    revision: Option<u64>,
+    is_watching: bool,
+}
+
+impl HollowProxy {
+    /// A proxy that has made no call. `addresses` tells where discovery is.
+    #[must_use]
+    pub fn new(
+        settings: HollowSettings,
+        addresses: watch::Receiver<SocketAddr>,
+        traffic: Arc<Traffic>,
+        tracker: Arc<SpreadTracker>,
+    ) -> Self {
+        let (me, revision) = (settings.me as usize, settings.revision);
+        let schedule = CallSchedule::new(settings);
+        Self { me, addresses, traffic, tracker, schedule, connection: None, revision, is_watching: false }
+    }
+
+    /// Follows discovery until the task is aborted.
+    pub async fn run(mut self) {
+        if let Some(revision) = self.revision {
+            self.tracker.holds(self.me, revision);
+        }
+        let mut addresses = self.addresses.clone();
+        addresses.mark_unchanged();
+        let mut pause = self.schedule.first();
+        loop {
+            tokio::select! {
+                () = self.follow(pause) => {}
+                moved = addresses.changed() => {
+                    if moved.is_err() {
+                        return;
+                    }
+                    (self.connection, self.revision, self.is_watching) = (None, None, false);
+                }
+            }
+            pause = Duration::ZERO;
+        }
+    }
+
+    /// Makes one call after another, the first after a pause. Never returns.
+    async fn follow(&mut self, first_pause: Duration) {
+        let mut pause = first_pause;
+        loop {
+            sleep(pause).await;
+            pause = match self.call().await {
+                Ok(revision) => {
+                    self.revision = Some(revision);
+                    self.is_watching = true;
+                    self.schedule.succeeded();
+                    self.tracker.holds(self.me, revision);
+                    Duration::ZERO
+                }
+                Err(error) => {
+                    (self.connection, self.is_watching) = (None, false);
+                    match error {
+                        CallError::Failed => self.schedule.after_failure(),
+                        CallError::Unresponsive => Duration::ZERO,
+                    }
+                }
+            };
+        }
+    }
+
+    async fn call(&mut self) -> Result<u64, CallError> {
+        let (target, limit) = match self.revision {
+            None => ("/discovery/hosts".to_owned(), CALL_TIMEOUT),
+            Some(after) => {
+                let (wait, limit) = self.schedule.watch(self.is_watching);
+                (format!("/discovery/hosts?after={after}&wait_ms={}", wait.as_millis()), limit)
+            }
+        };
+        self.traffic.calls.fetch_add(1, Ordering::Relaxed);
+        match timeout(limit, self.fetch(&target)).await {
+            Ok(revision) => revision.ok_or(CallError::Failed),
+            Err(_) => Err(CallError::Unresponsive),
+        }
+    }
+
+    async fn fetch(&mut self, target: &str) -> Option<u64> {
+        let address = *self.addresses.borrow();
+        let mut connection = match self.connection.take() {
+            Some(connection) => connection,
+            None => dial(address, Arc::clone(&self.traffic)).await?,
+        };
+        connection.sender.ready().await.ok()?;
+        let request = Request::get(target).header(HOST, address.to_string()).body(Empty::new()).ok()?;
+        let response = connection.sender.send_request(request).await.ok()?;
+        let status = response.status();
+        let mut body = response.into_body();
+        let mut start = Vec::with_capacity(REVISION_WITHIN);
+        while let Some(frame) = body.frame().await {
+            let frame = frame.ok()?;
+            let data = frame.data_ref().map_or(&[][..], |data| &data[..]);
+            let wanted = REVISION_WITHIN - start.len();
+            start.extend_from_slice(&data[..data.len().min(wanted)]);
+        }
+        self.connection = Some(connection);
+        (status == StatusCode::OK).then(|| revision_in(&start)).flatten()
+    }
+}
+
+async fn dial(address: SocketAddr, traffic: Arc<Traffic>) -> Option<Connection> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let _ = stream.set_nodelay(true);
+    let stream = CountedStream::new(stream, traffic, Side::Proxy);
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let task = tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Some(Connection { sender, task })
+}
+
+/// The revision that the first bytes of a list name.
+#[must_use]
+pub fn revision_in(start: &[u8]) -> Option<u64> {
+    let text = String::from_utf8_lossy(start);
+    let (_, rest) = text.split_once("\"revision\":")?;
+    let digits = rest.trim_start();
+    let end = digits.find(|c: char| !c.is_ascii_digit())?;
+    digits[..end].parse().ok()
+}
