Tell in the live experiment how late the lab's timers were, and how steep idle memory is

Cause: on a busy machine latencies of the lab hold its own delays, which no figure showed. A process that ended within a phase could be reported as an unreadable /proc.

Change: a probe's lateness stands beside each phase. Histograms are in one module. A process that has ended by itself is what the run reports, whatever failed with it; a test kills one.

--- a/lab/src/live/clients.rs
+++ b/lab/src/live/clients.rs
@@ -1,9 +1,9 @@
 //! Clients: an open loop of requests, through a proxy or straight to the backends.
 
 use super::http::{self, CallError};
+use super::latency::LatencyHistogram;
 use super::proxy_config::{CLASS, DEADLINE_MS};
 use bytes::Bytes;
-use hdrhistogram::Histogram;
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1::SendRequest;
 use hyper::{Request, StatusCode};
@@ -19,17 +19,14 @@
 
 /// A connection that was idle for longer may be closed by the proxy at any moment.
 const REUSED_WITHIN: Duration = Duration::from_millis(1_500);
-/// Latencies that histograms hold, in microseconds, and their significant digits.
-const HIGHEST_US: u64 = 60_000_000;
-const SIGNIFICANT_DIGITS: u8 = 3;
 
 /// What became of the requests of one source.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Outcomes {
-    /// Latency of those that were served, in microseconds.
-    pub latency: Histogram<u64>,
-    /// The part of it that the backend did not take, in microseconds.
-    pub outside: Histogram<u64>,
+    /// Latency of those that were served.
+    pub latency: LatencyHistogram,
+    /// The part of it that the backend did not take.
+    pub outside: LatencyHistogram,
     /// Requests by how they ended.
     pub counts: Counts,
 }
@@ -76,22 +73,13 @@
 }
 
 impl Outcomes {
-    fn new() -> Self {
-        let histogram = || {
-            Histogram::new_with_bounds(1, HIGHEST_US, SIGNIFICANT_DIGITS)
-                .expect("1 to 60,000,000 with 3 digits are bounds that a histogram takes")
-        };
-        Self { latency: histogram(), outside: histogram(), counts: Counts::default() }
-    }
-
     fn record(&mut self, ended: &Ended) {
         self.counts.sent += 1;
         match ended {
             Ended::Served { latency, service } => {
                 self.counts.served += 1;
-                let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(HIGHEST_US).max(1);
-                self.latency.saturating_record(micros(*latency));
-                self.outside.saturating_record(micros(latency.saturating_sub(*service)));
+                self.latency.record(*latency);
+                self.outside.record(latency.saturating_sub(*service));
             }
             Ended::Refused => self.counts.refused += 1,
             Ended::Failed => self.counts.failed += 1,
@@ -157,7 +145,7 @@
     /// Sends no more, waits for what is out, and tells what became of all.
     pub async fn stop(self) -> Outcomes {
         self.stop.send_replace(true);
-        self.task.await.unwrap_or_else(|_| Outcomes::new())
+        self.task.await.unwrap_or_default()
     }
 }
 
@@ -169,7 +157,7 @@
 ) -> Outcomes {
     let mut rng = SmallRng::seed_from_u64(seed);
     let gaps = Exp::new(per_second).expect("the rate is above 0");
-    let mut outcomes = Outcomes::new();
+    let mut outcomes = Outcomes::default();
     let mut out = JoinSet::new();
     let mut next = tokio::time::Instant::now();
     loop {
--- a/lab/src/live/experiment.rs
+++ b/lab/src/live/experiment.rs
@@ -6,6 +6,7 @@
 use super::discovery::board::{Entry, EntryPhase};
 use super::fleet::ProxyFleet;
 use super::idle::{self, IdleMemory};
+use super::lateness::LatenessProbe;
 use super::proxy_config::KIND;
 use super::report::{
     HollowFigures, LiveFigures, PhaseFigures, ProcessFigures, RequestFigures, RestartFigures,
@@ -47,6 +48,7 @@
     discovery: StandIn,
     tracker: Arc<SpreadTracker>,
     fleet: ProxyFleet,
+    lateness: LatenessProbe,
     rng: SmallRng,
     /// Single changes made so far.
     changes: usize,
@@ -135,6 +137,7 @@
             discovery,
             tracker,
             fleet,
+            lateness: LatenessProbe::start(),
             rng,
             changes: 0,
             changing: 0,
@@ -153,8 +156,10 @@
     pub async fn play(&mut self, figures: &mut LiveFigures) -> Result<(), LabError> {
         for (number, phase) in self.scenario.phases.clone().iter().enumerate() {
             self.progress.set_message(format!("phase {number}, {}", phase.kind()));
-            figures.phases.push(self.play_phase(phase).await?);
+            let played = self.play_phase(phase).await;
+            // A process that has ended by itself explains whatever else has failed.
             self.fleet.check()?;
+            figures.phases.push(played?);
         }
         self.progress.finish_and_clear();
         Ok(())
@@ -270,6 +275,8 @@
     }
 
     fn before(&self) -> Result<Before, LabError> {
+        // What came before the phase is not its own.
+        drop(self.lateness.take());
         let hollow = self.fleet.hollow_traffic();
         let real = 0..self.fleet.real().len();
         Ok(Before {
@@ -323,6 +330,7 @@
             restart: special.restart,
             listed,
             lab_cores: lab.saturating_sub(before.lab).as_secs_f64() / seconds,
+            lab_timers_late: self.lateness.take().quantiles(),
             load_average: usage::load_average(),
         })
     }
--- a/lab/src/live/idle.rs
+++ b/lab/src/live/idle.rs
@@ -17,8 +17,11 @@
 pub struct IdleMemory {
     /// Connections and resident memory at each step, the first one without any.
     pub steps: Vec<IdleStep>,
-    /// Slope of the least squares line through the steps, in bytes for each connection.
-    pub bytes_per_connection: f64,
+    /// Slope of the least squares line through the steps, in bytes for each connection. Memory that the
+    /// process has free already hides the first connections.
+    pub slope_bytes: f64,
+    /// Slope of the steepest step, which that memory does not hide.
+    pub steepest_bytes: f64,
 }
 
 /// One step.
@@ -53,7 +56,8 @@
     }
     let points: Vec<(f64, f64)> =
         steps.iter().map(|step| (f64::from(step.connections), step.resident_kib as f64 * 1024.0)).collect();
-    Ok(IdleMemory { steps, bytes_per_connection: slope(&points) })
+    let steepest_bytes = points.windows(2).map(slope).fold(0.0, f64::max);
+    Ok(IdleMemory { steps, slope_bytes: slope(&points), steepest_bytes })
 }
 
 /// Slope of the least squares line through the points; 0 where they do not differ in x.
--- a/lab/src/live/mod.rs
+++ b/lab/src/live/mod.rs
@@ -14,6 +14,8 @@
 pub mod hollow;
 pub mod http;
 pub mod idle;
+pub mod latency;
+pub mod lateness;
 pub mod process;
 pub mod proxy_config;
 pub mod report;
--- a/lab/src/live/report.rs
+++ b/lab/src/live/report.rs
@@ -2,8 +2,8 @@
 
 use super::clients::{Counts, Outcomes};
 use super::idle::IdleMemory;
+use super::latency::Latency;
 use super::spread::{Quantiles, SpreadFigures};
-use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::fmt::Write;
 
@@ -43,6 +43,8 @@
     pub listed: usize,
     /// Processor time of the lab itself, as cores.
     pub lab_cores: f64,
+    /// How late the timers of the lab were. What it measures is not exact beyond that.
+    pub lab_timers_late: Option<Latency>,
     /// Load average of the machine over one minute, at the end.
     pub load_average: Option<f32>,
 }
@@ -98,17 +100,6 @@
     pub added: Option<AddedLatency>,
 }
 
-/// Quantiles in microseconds.
-#[derive(Clone, Copy, Debug, Serialize)]
-pub struct Latency {
-    /// Median.
-    pub p50_us: u64,
-    /// 99 in 100.
-    pub p99_us: u64,
-    /// Maximum.
-    pub max_us: u64,
-}
-
 /// Differences of quantiles, in microseconds.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct AddedLatency {
@@ -133,28 +124,18 @@
     pub up_after: Option<Quantiles>,
 }
 
-impl Latency {
-    fn of(histogram: &Histogram<u64>) -> Option<Self> {
-        (!histogram.is_empty()).then(|| Self {
-            p50_us: histogram.value_at_quantile(0.5),
-            p99_us: histogram.value_at_quantile(0.99),
-            max_us: histogram.max(),
-        })
-    }
-}
-
 impl RequestFigures {
     /// Figures of a source, beside those of the direct requests.
     #[must_use]
     pub fn new(outcomes: &Outcomes, direct: Option<&Outcomes>) -> Self {
-        let outside = Latency::of(&outcomes.outside);
-        let beside = direct.and_then(|direct| Latency::of(&direct.outside));
+        let outside = outcomes.outside.quantiles();
+        let beside = direct.and_then(|direct| direct.outside.quantiles());
         let less = |a: u64, b: u64| a as i64 - b as i64;
         let added = outside.zip(beside).map(|(through, direct)| AddedLatency {
             p50_us: less(through.p50_us, direct.p50_us),
             p99_us: less(through.p99_us, direct.p99_us),
         });
-        Self { counts: outcomes.counts, latency: Latency::of(&outcomes.latency), outside, added }
+        Self { counts: outcomes.counts, latency: outcomes.latency.quantiles(), outside, added }
     }
 }
 
@@ -170,6 +151,15 @@
     pub fn table(&self) -> String {
         let mut text = String::new();
         let _ = writeln!(text, "Each figure: median and maximum over the real processes.");
+        if let Some(Quantiles { median, max }) = self.start_up {
+            let _ = writeln!(
+                text,
+                "\nstart: processes were up after {median:.3} s (median), {max:.3} s (maximum)"
+            );
+        }
+        if let Some(Quantiles { max, .. }) = self.start_spread.as_ref().and_then(|spread| spread.all) {
+            let _ = writeln!(text, "  every proxy held the first list after {max:.3} s");
+        }
         for (number, phase) in self.phases.iter().enumerate() {
             phase.write(number, &mut text);
         }
@@ -196,8 +186,10 @@
         let added = |p: &ProcessFigures| p.requests.as_ref()?.added;
         row("added to a request, p50", "us", 0, over(all, |p| Some(added(p)?.p50_us as f64)));
         row("added to a request, p99", "us", 0, over(all, |p| Some(added(p)?.p99_us as f64)));
-        let idle = |p: &ProcessFigures| Some(p.idle.as_ref()?.bytes_per_connection);
-        row("an idle connection", "bytes", 0, over(all, idle));
+        let slope = |p: &ProcessFigures| Some(p.idle.as_ref()?.slope_bytes);
+        row("an idle connection, slope", "bytes", 0, over(all, slope));
+        let steepest = |p: &ProcessFigures| Some(p.idle.as_ref()?.steepest_bytes);
+        row("an idle connection, steepest", "bytes", 0, over(all, steepest));
         let pair = |quantiles: Quantiles| (quantiles.median, quantiles.max);
         if let Some(restart) = &self.restart {
             row("up after a restart", "s", 3, restart.up_after.map(pair));
@@ -240,6 +232,12 @@
         );
         let load = self.load_average.map_or_else(|| "unknown".to_owned(), |load| format!("{load:.2}"));
         let _ = writeln!(text, "  lab: {:.2} cores; load average of the machine {load}", self.lab_cores);
+        if let Some(Latency { p50_us, p99_us, max_us }) = self.lab_timers_late {
+            let _ = writeln!(
+                text,
+                "  the lab's timers were late by {p50_us} us (p50), {p99_us} (p99), {max_us} (max)"
+            );
+        }
     }
 }
 
--- a/lab/src/live/tests.rs
+++ b/lab/src/live/tests.rs
@@ -68,7 +68,7 @@
         (
             "connections = 40",
             "connections = 256",
-            "phases[8].connections",
+            "phases[9].connections",
             "must be 4 or more, and under `limits.sockets`",
         ),
     ];
--- a/lab/tests/live.rs
+++ b/lab/tests/live.rs
@@ -4,7 +4,7 @@
 use serde_json::Value;
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
-use std::process::{Command, Output, Stdio};
+use std::process::{Child, Command, Output, Stdio};
 use std::sync::LazyLock;
 
 /// The proxy's program. It belongs to another package, so cargo is asked to build it and to say where it is.
@@ -97,17 +97,23 @@
     }
 }
 
+/// The lab with the small scenario once both processes have started: itself, its log, and their process ids.
+fn start_lab() -> (Child, impl Iterator<Item = String>, Vec<u64>) {
+    let mut lab = lab();
+    lab.arg(scenario("live-small.toml")).arg("--proxy").arg(&*PROXY);
+    let mut lab = lab.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().expect("the lab runs");
+    let log = BufReader::new(lab.stderr.take().expect("a log")).lines();
+    let mut log = log.map(|line| line.expect("text"));
+    let pid = |line: String| line.rsplit_once("is process ")?.1.trim().parse::<u64>().ok();
+    let pids: Vec<u64> = log.by_ref().filter_map(pid).take(2).collect();
+    assert_eq!(pids.len(), 2, "both processes have started");
+    (lab, log, pids)
+}
+
 #[test]
 fn processes_end_with_the_lab_when_it_is_told_to_end() {
     for (signal, name) in [(Signal::TERM, "SIGTERM"), (Signal::INT, "SIGINT")] {
-        let mut lab = lab();
-        lab.arg(scenario("live-small.toml")).arg("--proxy").arg(&*PROXY);
-        let mut lab = lab.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().expect("the lab runs");
-        let mut log =
-            BufReader::new(lab.stderr.take().expect("a log")).lines().map(|line| line.expect("text"));
-        let pid = |line: String| line.rsplit_once("is process ")?.1.trim().parse::<u64>().ok();
-        let pids: Vec<u64> = log.by_ref().filter_map(pid).take(2).collect();
-        assert_eq!(pids.len(), 2, "both processes have started");
+        let (mut lab, log, pids) = start_lab();
         let lab_pid = i32::try_from(lab.id()).ok().and_then(Pid::from_raw).expect("a process id");
         kill_process(lab_pid, signal).expect("it runs");
         let rest: Vec<String> = log.collect();
@@ -117,6 +123,17 @@
     }
 }
 
+#[test]
+fn a_process_that_ends_by_itself_ends_the_run() {
+    let (mut lab, log, pids) = start_lab();
+    let first = i32::try_from(pids[0]).ok().and_then(Pid::from_raw).expect("a process id");
+    kill_process(first, Signal::KILL).expect("it runs");
+    let rest: Vec<String> = log.collect();
+    assert_eq!(lab.wait().expect("it ends").code(), Some(1));
+    assert!(rest.iter().any(|line| line.contains("ended by itself")), "{rest:?}");
+    assert!(!pids.into_iter().any(is_running), "the other process has ended too");
+}
+
 #[test]
 fn a_scenario_that_makes_no_sense_is_refused_with_file_and_key() {
     let directory = tempfile::tempdir().expect("a directory");
