Test that a further attempt tells its backend no more time than is left

The term on the time that attempts tell had a test for first attempts alone. The new one lets the first attempt take 0.4 s and the second one's connection come up late. It fails where the time is taken before the connection is up (14.6 s told, 13.6 s left), and where 0.4 s is added to it.

--- a/tests/proxy/moments.rs
+++ b/tests/proxy/moments.rs
@@ -275,6 +275,35 @@
     }
 }
 
+/// The first attempt takes some of the client's time, and the second one's connection some more.
+#[test]
+fn a_further_attempt_tells_its_backend_no_more_time_than_the_client_has_left() {
+    const FIRST_TAKES: Duration = Duration::from_millis(400);
+    const TIME_LEFT: Duration = Duration::from_millis(15_000);
+    let discovery = Discovery::start();
+    let (breaks, release) = breaks_on_word();
+    let late = FullQueue::start();
+    let proxy = Proxy::start("time-left", &discovery, &[entry("s-1", breaks.address, "active", 0)]);
+    let mut client = proxy.client();
+    let sent_at = std::time::Instant::now();
+    client.send(&request("read", "slow", ""));
+    breaks.next();
+    discovery.post(true, &[entry("s-2", late.address, "active", 0)]);
+    std::thread::sleep(FIRST_TAKES);
+    release.send(()).expect("the backend waits");
+    std::thread::sleep(FIRST_TAKES);
+    let listener = late.empty();
+    let (mut stream, _) = listener.accept().expect("the second attempt");
+    let seen = read_message(&mut BufReader::new(&stream)).expect("a request");
+    let left = TIME_LEFT.saturating_sub(sent_at.elapsed());
+    stream.write_all(&answer("200 OK", "", b"there")).expect("the proxy reads");
+    assert_eq!(client.receive().body, b"there");
+    let told: u64 = seen.header("x-time-left-ms").expect("the time left").parse().expect("a number");
+    let told = Duration::from_millis(told);
+    assert!(told <= left + Duration::from_millis(300), "{told:?} told, {left:?} left");
+    assert!(told + Duration::from_secs(4) > left, "{told:?} told, {left:?} left");
+}
+
 /// Its end comes behind far more than the kernel takes for a connection that nobody reads.
 #[test]
 fn a_client_that_leaves_behind_more_than_the_kernel_takes_is_seen_to_leave() {
