Test that a reset never ends an answer that has no length

Tests had such answers ended by a close, and broken ones that had a length or chunks. The new one resets them behind nothing, 40 bytes and 100 kB, at once and later, with both heads that allow them. It fails where an error counts as the end, of answers that are held and of those that flow.

--- a/tests/proxy/forms.rs
+++ b/tests/proxy/forms.rs
@@ -2,10 +2,11 @@
 
 use crate::UP;
 use crate::rig::*;
-use std::io::{Read, Write};
-use std::net::TcpListener;
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::mpsc::channel;
 use std::thread;
+use std::time::Duration;
 
 const LARGE: usize = 32 << 20;
 
@@ -330,6 +331,44 @@
     assert!(text.starts_with("HTTP/1.1 200 ") && text.ends_with("\r\n\r\n"), "{text}");
 }
 
+/// A backend that answers each request with these bytes and resets its connection so long behind them.
+fn resets_behind(bytes: Vec<u8>, pause: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            if read_message(&mut BufReader::new(&stream)).is_some() {
+                let _ = stream.write_all(&bytes);
+                std::thread::sleep(pause);
+                let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            }
+        }
+    });
+    address
+}
+
+/// An answer may have no length, so that only the end of its connection ends it; a reset is no such end.
+#[test]
+fn a_reset_never_ends_an_answer_that_has_no_length() {
+    for head in ["HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n"] {
+        for (length, pause_ms) in [(0, 0), (40, 0), (40, 100), (40, 600), (100_000, 0), (100_000, 100)] {
+            let bytes = [head.as_bytes(), &pattern(length)].concat();
+            let address = resets_behind(bytes, Duration::from_millis(pause_ms));
+            let discovery = Discovery::start();
+            let name = format!("reset-{length}-{pause_ms}");
+            let proxy = Proxy::start(&name, &discovery, &[entry("s-1", address, "active", 0)]);
+            let mut client = proxy.client();
+            client.send(&request("charge", "1", "x").replace("Host:", "Connection: close\r\nHost:"));
+            let mut all = Vec::new();
+            let ended = client.reader.read_to_end(&mut all);
+            let failed = all.starts_with(b"HTTP/1.1 502 ");
+            let text = String::from_utf8_lossy(&all[..200.min(all.len())]).to_lowercase();
+            let cut_off = text.contains("chunked") && !all.ends_with(b"0\r\n\r\n");
+            assert!(failed || ended.is_err() || cut_off, "{name}: {} bytes", all.len());
+        }
+    }
+}
+
 /// A client may be slow, as long as it goes on.
 #[test]
 fn a_request_in_small_pieces_is_served() {
