Bound the rates and times of a slopes scenario, and the time between its batches

At a rate of 0.001 requests a second batches were hours apart: holds ended after their requests' deadlines, and the lab panicked on a negative time. Batches are now at most 50 ms apart, with fewer requests in each, and rates, service times, batch sizes and factors have bounds that the error names.

--- a/lab/src/slopes/scenario.rs
+++ b/lab/src/slopes/scenario.rs
@@ -17,6 +17,16 @@
 const MOST_GROUPS: u32 = 26;
 /// Most requests or open requests of one repetition.
 const MOST_EVENTS: u32 = 1_000_000;
+/// Bounds of the requests a second of one proxy, and of how many times that a hot proxy gets.
+const LEAST_RATE: f64 = 1.0;
+const MOST_RATE: f64 = 1e6;
+const MOST_HOT_FACTOR: f64 = 1_000.0;
+/// The longest mean service time, milliseconds.
+const MOST_LATENCY_MS: f64 = 60_000.0;
+/// The largest mean batch.
+const MOST_BATCH: f64 = 10_000.0;
+/// The largest exponent of the distribution over tenants.
+const MOST_SKEW: f64 = 10.0;
 /// The oldest proxy, seconds: a day.
 const MOST_AGE_SECONDS: f64 = 86_400.0;
 /// Most membership changes of one repetition.
@@ -56,7 +66,8 @@
     pub warm_up_requests: u32,
     /// Requests that are measured in one repetition.
     pub measured_requests: u32,
-    /// Mean number of requests that arrive between two readings of the clock.
+    /// Mean number of requests that arrive between two readings of the clock; fewer where that takes over 50
+    /// ms.
     pub batch_requests: f64,
     /// Exponent of the Zipf distribution of requests over tenants; 0 spreads them evenly.
     pub tenant_skew: f64,
@@ -270,19 +281,13 @@
 
 impl Load {
     fn validate(&self) -> Result<(), InvalidValue> {
-        positive("load.requests_per_second", self.requests_per_second)?;
-        positive("load.latency_ms", self.latency_ms)?;
+        between("load.requests_per_second", self.requests_per_second, LEAST_RATE, MOST_RATE)?;
+        between("load.latency_ms", self.latency_ms, 0.001, MOST_LATENCY_MS)?;
         within("load.warm_up_requests", self.warm_up_requests, 0, MOST_EVENTS)?;
         within("load.measured_requests", self.measured_requests, 1, MOST_EVENTS)?;
-        positive("load.batch_requests", self.batch_requests)?;
-        if !(0.0..=10.0).contains(&self.tenant_skew) {
-            return Err(invalid("load.tenant_skew", self.tenant_skew, "0 to 10"));
-        }
-        if !(0.0..=MOST_AGE_SECONDS).contains(&self.proxy_age_seconds) {
-            let allowed = format!("0 to {MOST_AGE_SECONDS}");
-            return Err(invalid("load.proxy_age_seconds", self.proxy_age_seconds, &allowed));
-        }
-        Ok(())
+        between("load.batch_requests", self.batch_requests, 0.1, MOST_BATCH)?;
+        between("load.tenant_skew", self.tenant_skew, 0.0, MOST_SKEW)?;
+        between("load.proxy_age_seconds", self.proxy_age_seconds, 0.0, MOST_AGE_SECONDS)
     }
 }
 
@@ -312,8 +317,8 @@
         within("target.proxies", self.proxies, 1, MOST_PROXIES)?;
         within("target.tenants", self.tenants, 1, MOST_TENANTS)?;
         within("target.classes", self.classes, 1, MOST_CLASSES)?;
-        positive("target.requests_per_second", self.requests_per_second)?;
-        positive("target.hot_factor", self.hot_factor)?;
+        between("target.requests_per_second", self.requests_per_second, LEAST_RATE, MOST_RATE)?;
+        between("target.hot_factor", self.hot_factor, 0.001, MOST_HOT_FACTOR)?;
         positive("target.configuration_changes_per_day", self.configuration_changes_per_day)?;
         positive("target.entry_changes_per_day", self.entry_changes_per_day)?;
         positive("target.burst_changes_per_second", self.burst_changes_per_second)?;
@@ -345,6 +350,13 @@
     Err(invalid(key, given, &format!("{least} to {most}")))
 }
 
+fn between(key: &str, given: f64, least: f64, most: f64) -> Result<(), InvalidValue> {
+    if (least..=most).contains(&given) {
+        return Ok(());
+    }
+    Err(invalid(key, given, &format!("{least} to {most}")))
+}
+
 fn positive(key: &str, given: f64) -> Result<(), InvalidValue> {
     if given.is_finite() && given > 0.0 {
         return Ok(());
--- a/lab/src/slopes/virtual_proxy.rs
+++ b/lab/src/slopes/virtual_proxy.rs
@@ -25,6 +25,8 @@
 const EPOCH: Micros = 1_735_689_600 * SECOND;
 /// How long clients wait.
 const PATIENCE: Micros = 2 * SECOND;
+/// The longest time between two batches: short beside how long requests wait for anything.
+const MOST_STEP: Micros = 50 * MILLISECOND;
 /// Part of the mean service time that is constant.
 const CONSTANT_PART: f64 = 0.5;
 /// Weight of the latest request in the service time that a backend reports.
@@ -111,10 +113,12 @@
 }
 
 impl Traffic {
-    fn new(setup: &Setup, load: &Load, seed: u64) -> Option<Self> {
+    /// Traffic in batches that are `step` apart.
+    fn new(setup: &Setup, load: &Load, step: Micros, seed: u64) -> Option<Self> {
+        let batch = setup.requests_per_second * step as f64 / SECOND as f64;
         Some(Self {
             random: SmallRng::seed_from_u64(seed),
-            batch: Poisson::new(load.batch_requests).ok()?,
+            batch: Poisson::new(batch).ok()?,
             tenant: Zipf::new(f64::from(setup.tenants), load.tenant_skew).ok()?,
             classes: u8::try_from(setup.classes).ok()?,
             latency: load.latency_ms * MILLISECOND as f64,
@@ -159,11 +163,13 @@
     ) -> Result<Self, SettingsError> {
         let settings: Settings = setup.settings(fleet, load)?;
         let problem = || SettingsError { field: "load".into(), problem: "has no distribution".into() };
+        let step = (load.batch_requests / setup.requests_per_second * SECOND as f64) as Micros;
+        let step = step.clamp(1, MOST_STEP);
         let mut proxy = Self {
             balancer: Balancer::new(settings, seed, EPOCH)?,
             now: EPOCH + (load.proxy_age_seconds * SECOND as f64) as Micros,
-            step: (load.batch_requests / setup.requests_per_second * SECOND as f64).max(1.0) as Micros,
-            traffic: Traffic::new(setup, load, seed).ok_or_else(problem)?,
+            step,
+            traffic: Traffic::new(setup, load, step, seed).ok_or_else(problem)?,
             next_request: 0,
             attempts: BinaryHeap::new(),
             timers: BinaryHeap::new(),
@@ -327,7 +333,7 @@
         *made += 1;
         let finishes_at = self.now + self.traffic.service_time();
         let in_time = finishes_at <= give_up_at;
-        let ends_at = finishes_at.min(give_up_at);
+        let ends_at = finishes_at.min(give_up_at).max(self.now);
         self.attempts.push(Reverse(Attempt {
             ends_at,
             request,
--- a/lab/tests/slopes.rs
+++ b/lab/tests/slopes.rs
@@ -123,6 +123,8 @@
     assert!(order.contains("sizes") && order.contains("ascending"), "{order}");
     let kind = refusal("repetitions = \"five\"\n");
     assert!(kind.contains("repetitions") && kind.contains("u32"), "{kind}");
+    let rate = refusal("[load]\nrequests_per_second = nan\n");
+    assert!(rate.contains("load.requests_per_second") && rate.contains("1 to 1000000"), "{rate}");
     let sign = refusal("[budgets]\nadded_ms = -1.0\n");
     assert!(sign.contains("budgets.added_ms") && sign.contains("above 0"), "{sign}");
 }
