Read lists entry by entry from their text, and forget those gone by name

Cause: the text became a tree of values, and each member a second time an owned entry; each entry that was gone made the translator walk over all the names that it knows. Change: the members stay text until each is read into borrowed fields, and a list of changes forgets by name.

--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -15,6 +15,8 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde::Deserialize;
 use serde_json::Value;
+use serde_json::value::RawValue;
+use std::borrow::Cow;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -107,25 +109,30 @@
 
 impl std::error::Error for DiscoveryError {}
 
+/// A list as it comes. Its members are read one by one, so that one that makes no sense spoils no other.
 #[derive(Deserialize)]
-struct RawList {
+struct RawList<'a> {
     revision: u64,
     #[serde(default)]
     complete: bool,
-    #[serde(default)]
-    members: Vec<Value>,
+    #[serde(default, borrow)]
+    members: Vec<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
-struct RawMember {
-    id: String,
-    host_port: String,
-    locality: String,
-    #[serde(default)]
-    flavor: String,
+struct RawMember<'a> {
+    #[serde(borrow)]
+    id: Cow<'a, str>,
+    #[serde(borrow)]
+    host_port: Cow<'a, str>,
+    #[serde(borrow)]
+    locality: Cow<'a, str>,
+    #[serde(default, borrow)]
+    flavor: Cow<'a, str>,
     #[serde(default)]
     cell: u16,
-    phase: String,
+    #[serde(borrow)]
+    phase: Cow<'a, str>,
     #[serde(default)]
     up_since_ms: u64,
 }
@@ -172,58 +179,75 @@
     /// # Errors
     /// [`DiscoveryError::Malformed`] where the text is no JSON or the list as a whole is not what is wanted.
     pub fn parse(&mut self, body: &[u8]) -> Result<List, DiscoveryError> {
-        self.list(serde_json::from_slice(body).map_err(DiscoveryError::Malformed)?)
+        let raw: RawList = serde_json::from_slice(body).map_err(DiscoveryError::Malformed)?;
+        let mut entries = Vec::with_capacity(raw.members.len());
+        let mut gone = Vec::new();
+        for member in raw.members {
+            match self.member(member) {
+                Ok((listed, name)) => {
+                    if listed.backend.readiness == Readiness::Gone {
+                        gone.push(name);
+                    }
+                    entries.push(listed);
+                }
+                Err(problem) => log(format_args!("passing over an entry of the list: {problem}")),
+            }
+        }
+        let list = List { revision: raw.revision, complete: raw.complete, entries };
+        self.forget_gone(&list, &gone);
+        Ok(list)
     }
 
-    /// Reads a list. Entries that make no sense are logged and passed over.
+    /// Reads a list that was parsed, as [`Translator::parse`] reads one as text.
     ///
     /// # Errors
     /// Where the list as a whole is not what is wanted.
-    pub fn list(&mut self, json: Value) -> Result<List, DiscoveryError> {
-        let raw: RawList = serde_json::from_value(json).map_err(DiscoveryError::Malformed)?;
-        let entries = raw.members.into_iter().filter_map(|member| match self.member(member) {
-            Ok(listed) => Some(listed),
-            Err(problem) => {
-                log(format_args!("passing over an entry of the list: {problem}"));
-                None
-            }
-        });
-        let list = List { revision: raw.revision, complete: raw.complete, entries: entries.collect() };
-        self.forget_gone(&list);
-        Ok(list)
+    pub fn list(&mut self, json: &Value) -> Result<List, DiscoveryError> {
+        self.parse(json.to_string().as_bytes())
     }
 
-    /// Where every backend has a new name, those that are gone must not pile up.
-    fn forget_gone(&mut self, list: &List) {
-        let stays = |e: &&Listed| e.backend.readiness != Readiness::Gone;
-        let named = |stay: bool| list.entries.iter().filter(move |e| stays(e) == stay).map(|e| e.backend.id);
-        let (stay, gone): (FxHashSet<_>, FxHashSet<_>) = (named(true).collect(), named(false).collect());
-        if list.complete || !gone.is_empty() {
-            let keep = |id: &BackendId| stay.contains(id) || (!list.complete && !gone.contains(id));
-            self.numbers.retain(|_, id| keep(id));
-            self.taken.retain(keep);
-            self.starts.retain(|id, _| keep(id));
+    /// Where every backend has a new name, those that are gone must not pile up. A list of changes costs by what it
+    /// names.
+    fn forget_gone(&mut self, list: &List, gone: &[Cow<'_, str>]) {
+        if !list.complete && gone.is_empty() {
+            return;
+        }
+        let stays = list.entries.iter().filter(|entry| entry.backend.readiness != Readiness::Gone);
+        let stays: FxHashSet<BackendId> = stays.map(|entry| entry.backend.id).collect();
+        if list.complete {
+            self.numbers.retain(|_, id| stays.contains(id));
+            self.taken.retain(|id| stays.contains(id));
+            self.starts.retain(|id, _| stays.contains(id));
+            return;
+        }
+        for name in gone {
+            if let Some(id) = self.numbers.get(name.as_ref()).copied().filter(|id| !stays.contains(id)) {
+                self.numbers.remove(name.as_ref());
+                self.taken.remove(&id);
+                self.starts.remove(&id);
+            }
         }
     }
 
-    fn member(&mut self, member: Value) -> Result<Listed, String> {
-        let raw: RawMember = serde_json::from_value(member).map_err(|e| e.to_string())?;
+    /// Reads an entry; its name comes along.
+    fn member<'a>(&mut self, member: &'a RawValue) -> Result<(Listed, Cow<'a, str>), String> {
+        let raw: RawMember<'a> = serde_json::from_str(member.get()).map_err(|e| e.to_string())?;
         let address = raw.host_port.parse();
         let address = address.map_err(|_| format!("`{}` is no address", raw.host_port))?;
-        let readiness = match raw.phase.as_str() {
+        let readiness = match raw.phase.as_ref() {
             "active" => Readiness::Ready,
             "leaving" => Readiness::Draining,
             "left" => Readiness::Gone,
             other => return Err(format!("unknown phase `{other}`")),
         };
-        let zone = self.zones.get(&raw.locality).copied();
+        let zone = self.zones.get(raw.locality.as_ref()).copied();
         let zone = zone.ok_or_else(|| format!("unknown locality `{}`", raw.locality))?;
         // A kind that the settings don't name can still be sent to.
-        let kind = self.kinds.get(&raw.flavor).copied().unwrap_or(0);
+        let kind = self.kinds.get(raw.flavor.as_ref()).copied().unwrap_or(0);
         let id = self.number(&raw.id);
         let started = self.started(id, raw.up_since_ms);
         let backend = Backend { id, zone, kind, cell: raw.cell, readiness, started };
-        Ok(Listed { backend, address })
+        Ok((Listed { backend, address }, raw.id))
     }
 
     /// A backend's number, the same at every proxy: the hash of its name. Two names that share a hash (one in
@@ -318,7 +342,7 @@
     /// Hands on the list that the configuration holds. It may be old, but it can be served from, and the first call
     /// asks for what is newer: where all proxies start at once, that costs discovery one call each and few lines.
     pub fn start_from(&mut self, known: Value) {
-        let (revision, entries) = self.translator.list(known).map_or_else(
+        let (revision, entries) = self.translator.list(&known).map_or_else(
             |error| {
                 log(format_args!("`known`: {error}"));
                 (None, Vec::new())
