Let the test of closed backend connections wait until the close has arrived

The test a_connection_that_its_backend_has_closed_is_not_used_again sent its next request as soon as it had the answer, while its backend was still about to close. Nothing is wrong with the proxy, which asks the kernel about a connection before each reuse.

The test now waits between requests until no established connection to the backend is left in the kernel's table.

No behaviour of the program changes.

--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -359,6 +359,8 @@
     for id in ["1", "2", "3", "4"] {
         assert_eq!(client.ask(&request("charge", id, "x")).status(), 200);
         backend.next();
+        // A close that is still to come can't be known to the proxy, and would reset the next request.
+        backend.wait_until_closed();
     }
 }
 
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -10,7 +10,7 @@
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use std::{env, fs, thread};
 
 /// Ends a test that waits for what never comes.
@@ -167,6 +167,28 @@
     pub fn rest(&self) -> usize {
         self.seen.try_iter().count()
     }
+
+    /// Waits until the kernel holds no connection to it that its peer could still take for open: the close of each
+    /// has reached the peer's socket, whether or not the peer's process has looked at it.
+    pub fn wait_until_closed(&self) {
+        let began = Instant::now();
+        while has_established_to(self.address) {
+            assert!(began.elapsed() < PATIENCE, "a connection to the backend stays open");
+            thread::yield_now();
+        }
+    }
+}
+
+/// Whether some socket of this machine has an established IPv4 connection to that address.
+fn has_established_to(address: SocketAddr) -> bool {
+    const ESTABLISHED: &str = "01";
+    let SocketAddr::V4(address) = address else { panic!("an IPv4 address") };
+    let remote = format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port());
+    let table = fs::read_to_string("/proc/net/tcp").expect("the kernel's table of TCP sockets");
+    table.lines().skip(1).any(|line| {
+        let mut fields = line.split_ascii_whitespace().skip(2);
+        fields.next() == Some(remote.as_str()) && fields.next() == Some(ESTABLISHED)
+    })
 }
 
 /// A backend whose queue of connections is full: those to it come up only once it is emptied.
