Split the backends' side of the sockets into modules with one job each

src/proxy/backends.rs had grown to 861 lines with pool, dialing, attempt, exchange, relay and probe in it, and a single function of an attempt of 95 lines.

Names that needed explaining give way to standard terms: Server is Endpoint and its life a generation, Over is CancelSignal, Ends is AttemptDeadlines, Ended is AttemptResult, NoConn is ConnectError, Broken is ExchangeError, Strays is StrayBytes. Comments of src/proxy and its tests are wrapped at 110 characters.

No behaviour changes; the tests assert what they did.

--- a/src/proxy/ahead.rs
+++ b/src/proxy/ahead.rs
@@ -1,7 +1,8 @@
 //! Bytes that were read from a connection ahead of the HTTP side, in the order in which they came.
 //!
-//! The end of a connection is seen only once all that came ahead of it has left the kernel, and the HTTP side reads
-//! nothing behind an open request. What a client sends there is kept here, so that its leaving is noticed.
+//! The end of a connection is seen only once all that came ahead of it has left the kernel, and the HTTP side
+//! reads nothing behind an open request. What a client sends there is kept here, so that its leaving is
+//! noticed.
 
 use super::BODY_CAP;
 use super::budget::{self, Reserved};
--- /dev/null
+++ b/src/proxy/backends/relay.rs
@@ -0,0 +1,74 @@
+//! An answer that is passed on to its client while it comes.
+
+use super::call::CancelSignal;
+use super::exchange::ExchangeError;
+use super::reply::PartialBody;
+use crate::api::Outcome;
+use crate::proxy::bodies::{Giver, Held, Pace, Unwanted, next_data};
+use crate::proxy::{ANSWER_STALL, BODY_CAP, PASS_CAP};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep_until, timeout};
+
+/// How long an answer that flows may come too slowly at first. An answer may be half a second late.
+const SLOW_START_GRACE: Duration = Duration::from_millis(250);
+
+/// Passes an answer on as fast as its client takes it. One whose length nobody knows, that is of a usual size
+/// so far and comes too slowly when its request's time is over, is taken for one without an end.
+pub(super) async fn relay_answer(
+    sender: Giver,
+    answer: PartialBody,
+    mut cancel: oneshot::Receiver<()>,
+    over: &CancelSignal,
+) -> Outcome {
+    let PartialBody { first, rest: mut body, length } = answer;
+    let pace = Pace { late: Instant::now() + SLOW_START_GRACE };
+    let Ok(mut passed) = pass_first(&sender, first).await else { return Outcome::Cancelled };
+    loop {
+        // Where it is waited for, all that has come was passed on, however slowly its client reads.
+        let too_slow = async {
+            over.triggered().await;
+            sleep_until(pace.late(passed)).await;
+        };
+        let data = tokio::select! {
+            biased;
+            data = timeout(ANSWER_STALL, next_data(&mut body)) => data,
+            () = sender.unwanted() => return Outcome::Cancelled,
+            Ok(()) = &mut cancel => return Outcome::Cancelled,
+            () = too_slow, if length.is_none() && passed <= BODY_CAP as u64 => return Outcome::Timeout,
+        };
+        let data = match data {
+            Ok(Ok(Some(data))) => data,
+            Ok(Ok(None)) => {
+                sender.end().await;
+                return Outcome::Ok;
+            }
+            Ok(Err(error)) => return broken_off(error),
+            Err(_) => return Outcome::Timeout,
+        };
+        passed += data.len() as u64;
+        if passed > PASS_CAP {
+            return Outcome::Spoilt;
+        }
+        if sender.give(data, ANSWER_STALL).await.is_err() {
+            return Outcome::Cancelled;
+        }
+    }
+}
+
+/// Passes on what had come at the beginning; its bytes.
+async fn pass_first(sender: &Giver, first: Held) -> Result<u64, Unwanted> {
+    let mut passed = 0;
+    for piece in first.into_pieces() {
+        passed += piece.len() as u64;
+        sender.give(piece, ANSWER_STALL).await?;
+    }
+    Ok(passed)
+}
+
+fn broken_off(error: hyper::Error) -> Outcome {
+    match ExchangeError::from(error) {
+        ExchangeError::Malformed => Outcome::Spoilt,
+        _ => Outcome::Reset,
+    }
+}
--- a/src/proxy/backends/tests.rs
+++ b/src/proxy/backends/tests.rs
@@ -1,4 +1,7 @@
-use super::*;
+use super::Fleet;
+use crate::api::Readiness;
+use crate::proxy::counters::Counters;
+use std::net::SocketAddr;
 
 #[test]
 fn backends_that_are_gone_are_forgotten() {
@@ -12,5 +15,5 @@
             fleet.retain(|listed| listed > id);
         }
     }
-    assert_eq!(fleet.servers.borrow().len(), 0);
+    assert_eq!(fleet.endpoints.borrow().len(), 0);
 }
--- a/src/proxy/bodies.rs
+++ b/src/proxy/bodies.rs
@@ -1,5 +1,5 @@
-//! Bodies: held whole, or passed on piece by piece. One that is passed on is held back by whoever reads it, so it
-//! takes the memory of a few pieces whatever its size.
+//! Bodies: held whole, or passed on piece by piece. One that is passed on is held back by whoever reads it,
+//! so it takes the memory of a few pieces whatever its size.
 
 use super::budget::Reserved;
 use super::counters::{Counters, End, Ticket};
@@ -19,7 +19,8 @@
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, Sleep, sleep_until};
 
-/// Whoever sends a body or an answer slower than this many bytes a second, beyond the time that any may take, is cut off.
+/// Whoever sends a body or an answer slower than this many bytes a second, beyond the time that any may take,
+/// is cut off.
 const SLOWEST: u64 = 32 * 1024;
 
 /// How long a body may take.
@@ -493,8 +494,8 @@
     }
 }
 
-/// Holds what comes, without a copy where it is a single piece, else in pieces of one size: grown in place, large
-/// bodies left as much memory unused behind them as they took.
+/// Holds what comes, without a copy where it is a single piece, else in pieces of one size: grown in place,
+/// large bodies left as much memory unused behind them as they took.
 #[derive(Default)]
 pub struct Gathered {
     full: Held,
--- a/src/proxy/budget.rs
+++ b/src/proxy/budget.rs
@@ -16,9 +16,9 @@
 }
 
 impl Budget {
-    /// Divides the limits among so many processes, `reserved` descriptors of each aside. What all connections may
-    /// hold has to fit into the memory: two fifths of it for heads, bodies and pieces of bodies that come from
-    /// clients, a fifth for those from backends, a fifth for bodies beyond the usual size.
+    /// Divides the limits among so many processes, `reserved` descriptors of each aside. What all connections
+    /// may hold has to fit into the memory: two fifths of it for heads, bodies and pieces of bodies that come
+    /// from clients, a fifth for those from backends, a fifth for bodies beyond the usual size.
     #[must_use]
     pub fn of(sockets: usize, memory_mb: usize, reserved: usize, processes: usize) -> Self {
         let free = (sockets / processes).max(2 * reserved) - reserved;
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -1,6 +1,6 @@
 //! The clients' side: the listener, requests in, answers out.
 
-use super::backends::{Call, Over};
+use super::backends::{Call, CancelSignal};
 use super::bodies::{AnswerBody, CallBody, Gathered, Held, Pace, ToClient, Upload, next_data};
 use super::budget::{Budget, Reserved};
 use super::clock::Clock;
@@ -37,8 +37,8 @@
 pub(super) const REQUEST_TIME: Duration = Duration::from_millis(2_500);
 /// A body has this long at the least, however late its head came, and longer the more of it has come.
 const BODY_LEAST: Duration = Duration::from_millis(300);
-/// How long a closing connection is read on after its last byte, and in all, so that the kernel does not answer
-/// late bytes with a reset that destroys an answer on its way.
+/// How long a closing connection is read on after its last byte, and in all, so that the kernel does not
+/// answer late bytes with a reset that destroys an answer on its way.
 const LINGER: Duration = Duration::from_millis(500);
 const LINGER_MOST: Duration = Duration::from_secs(2);
 const LINGER_BUFFER: usize = 8 * 1024;
@@ -200,8 +200,8 @@
         tokio::task::spawn_local(Rc::clone(self).connection(stream));
     }
 
-    /// Takes a connection that waits in the kernel's queue, if one does. The runtime may not have seen it yet, so the
-    /// listener itself is asked.
+    /// Takes a connection that waits in the kernel's queue, if one does. The runtime may not have seen it
+    /// yet, so the listener itself is asked.
     pub fn take_waiting(self: &Rc<Self>, listener: &TcpListener) -> bool {
         match socket2::SockRef::from(listener).accept() {
             Ok((socket, _)) => {
@@ -278,7 +278,8 @@
                 () = look.as_mut() => {
                     let late = line.late();
                     let is_late = late.is_some_and(|late| late <= Instant::now());
-                    // What has come and was not read yet may be a request: it is read within that time, or never.
+                    // What has come and was not read yet may be a request: it is read within that time, or
+                    // never.
                     if is_late && (looked_again || !line.has_unread()) {
                         return;
                     }
@@ -335,7 +336,8 @@
         response
     }
 
-    /// Whether the front asks if this proxy serves. A class may have the name of that call; its requests name it.
+    /// Whether the front asks if this proxy serves. A class may have the name of that call; its requests name
+    /// it.
     fn is_check(&self, request: &Request<Incoming>) -> bool {
         let asks_a_class =
             || self.classes.contains_key("up") && request.headers().contains_key(SERVICE_CLASS);
@@ -475,7 +477,7 @@
         };
         let body = self.collect(body, pace).await?;
         let (target, headers) = origin_form(head.uri, forwarded(head.headers));
-        let call = Call { method: head.method, target, headers, body, over: Over::default() };
+        let call = Call { method: head.method, target, headers, body, cancel: CancelSignal::default() };
         // The time of a request counts from its last byte.
         let arrived = self.clock.now();
         if let Some(left) = self.lifecycle.time_left() {
--- a/src/proxy/clock.rs
+++ b/src/proxy/clock.rs
@@ -39,8 +39,8 @@
         self.origin + Duration::from_micros(at.saturating_sub(self.unix))
     }
 
-    /// When a backend started, from Unix milliseconds; 0 is long ago. A start in the future (another machine's
-    /// clock is ahead) is taken as now.
+    /// When a backend started, from Unix milliseconds; 0 is long ago. A start in the future (another
+    /// machine's clock is ahead) is taken as now.
     #[must_use]
     pub fn started(&self, unix_ms: u64) -> Option<Micros> {
         (unix_ms != 0).then(|| unix_ms.saturating_mul(1_000).min(self.now()))
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -150,8 +150,8 @@
 }
 
 impl Config {
-    /// Reads the file that the environment names. `shared` tells whether the limits may hold for two processes
-    /// at a time, as at an upgrade.
+    /// Reads the file that the environment names. `shared` tells whether the limits may hold for two
+    /// processes at a time, as at an upgrade.
     ///
     /// # Errors
     /// Says in one line what is missing or wrong.
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -1,7 +1,7 @@
 //! Owns the [`Balancer`]: feeds it events on one clock, carries out its actions, keeps its timers and the
 //! table of requests. All other tasks talk to it through a [`Handle`].
 
-use super::backends::{Call, Ended, Ends, Fleet, Served};
+use super::backends::{AttemptDeadlines, AttemptResult, Call, Fleet, Served};
 use super::clock::Clock;
 use super::discovery::Listed;
 use super::lifecycle::Lifecycle;
@@ -76,9 +76,9 @@
     /// The answer to an attempt begins and flows through.
     Begins(RequestId, u16, Served),
     /// An attempt ended.
-    Ended(RequestId, u16, Ended),
+    Ended(RequestId, u16, AttemptResult),
     /// A probe ended.
-    Probed(BackendId, Ended),
+    Probed(BackendId, AttemptResult),
     /// News of the backends.
     Listed(Scope, Vec<Listed>),
     /// Somebody asks how many of the listed backends the module avoids.
@@ -139,8 +139,8 @@
 
 /// An event that the driver itself has caused and not yet handed on.
 enum Pending {
-    Settled { request: RequestId, attempt: u16, ended: Ended },
-    Probed { backend: BackendId, ended: Ended },
+    Settled { request: RequestId, attempt: u16, result: AttemptResult },
+    Probed { backend: BackendId, result: AttemptResult },
 }
 
 /// Owns the balancer.
@@ -252,7 +252,7 @@
                 return self.timers.push(Reverse((last, Due::LastMoment(request))));
             }
         }
-        open.call.over.tell();
+        open.call.cancel.trigger();
         let Some(client) = open.client.take() else { return };
         let _ = client.send(Answer::Failed);
         self.feed(now, Event::ClientGone(request));
@@ -268,18 +268,18 @@
                     && open.client.take().is_some()
                 {
                     // Rule 1: an attempt that still waits for its connection is not sent for nobody.
-                    open.call.over.tell();
+                    open.call.cancel.trigger();
                     self.feed(now, Event::ClientGone(request));
                     self.forget(request);
                 }
             }
             Message::Begins(request, attempt, served) => self.on_begins(now, request, attempt, served),
-            Message::Ended(request, attempt, ended) => {
-                self.pending.push_back(Pending::Settled { request, attempt, ended });
+            Message::Ended(request, attempt, result) => {
+                self.pending.push_back(Pending::Settled { request, attempt, result });
                 self.settle(now);
             }
-            Message::Probed(backend, ended) => {
-                self.pending.push_back(Pending::Probed { backend, ended });
+            Message::Probed(backend, result) => {
+                self.pending.push_back(Pending::Probed { backend, result });
                 self.settle(now);
             }
             Message::Listed(scope, entries) => self.on_list(now, scope, &entries),
@@ -332,11 +332,11 @@
     fn settle(&mut self, now: Micros) {
         while let Some(pending) = self.pending.pop_front() {
             match pending {
-                Pending::Probed { backend, ended } => {
-                    let event = Event::Probed { backend, outcome: ended.outcome, report: &ended.report };
+                Pending::Probed { backend, result } => {
+                    let event = Event::Probed { backend, outcome: result.outcome, report: &result.report };
                     self.balancer.handle(now, event, &mut self.actions);
                 }
-                Pending::Settled { request, attempt, ended } => self.on_ended(now, request, attempt, ended),
+                Pending::Settled { request, attempt, result } => self.on_ended(now, request, attempt, result),
             }
             self.act(now);
         }
@@ -359,7 +359,7 @@
         self.feed(now, Event::FirstByte { request, attempt: number, elapsed });
     }
 
-    fn on_ended(&mut self, now: Micros, request: RequestId, number: u16, ended: Ended) {
+    fn on_ended(&mut self, now: Micros, request: RequestId, number: u16, result: AttemptResult) {
         let Some(open) = self.open.get_mut(&request) else { return };
         let Some(attempt) = open.attempts.get_mut(usize::from(number)) else { return };
         // Each send settles once.
@@ -371,13 +371,13 @@
         let (backend, elapsed) = (attempt.backend, self.elapsed(now, open, attempt));
         let Some(open) = self.open.get_mut(&request) else { return };
         // The first answer of a backend reaches the client without being asked for, as on the simulator.
-        if let Some(served) = ended.served
+        if let Some(served) = result.served
             && let Some(client) = open.client.take()
         {
             let _ = client.send(Answer::Served(served));
         }
         let closed = open.client.is_none();
-        let (outcome, report, spent) = (ended.outcome, ended.report.as_slice(), ended.spent);
+        let (outcome, report, spent) = (result.outcome, result.report.as_slice(), result.spent);
         let settled = Settled { request, backend, attempt: number, outcome, closed, elapsed, report, spent };
         self.balancer.handle(now, Event::Settled(settled), &mut self.actions);
         self.act(now);
@@ -437,20 +437,20 @@
         let (cancel, cancelled) = oneshot::channel();
         open.attempts.push(Attempt { backend, sent_at: now, cancel: Some(cancel) });
         let may_go = open.client.is_some() && usize::from(number) < self.max_attempts && give_up_at > now;
-        let Some(server) = self.fleet.server(backend).filter(|_| may_go) else {
-            let ended = Outcome::Moot.into();
-            self.pending.push_back(Pending::Settled { request, attempt: number, ended });
+        let Some(endpoint) = self.fleet.endpoint(backend).filter(|_| may_go) else {
+            let result = Outcome::Moot.into();
+            self.pending.push_back(Pending::Settled { request, attempt: number, result });
             return;
         };
         let (fleet, call, handle) = (Rc::clone(&self.fleet), Rc::clone(&open.call), self.handle.clone());
-        let ends = Ends {
+        let deadlines = AttemptDeadlines {
             give_up: self.clock.instant(give_up_at),
             write_by: write_by.map(|at| self.clock.instant(at)),
         };
         tokio::task::spawn_local(async move {
             let begins = |served| handle.tell(Message::Begins(request, number, served));
-            let ended = fleet.attempt(server, call, ends, cancelled, begins).await;
-            handle.tell(Message::Ended(request, number, ended));
+            let result = fleet.attempt(endpoint, call, deadlines, cancelled, begins).await;
+            handle.tell(Message::Ended(request, number, result));
         });
     }
 
@@ -466,11 +466,11 @@
     }
 
     fn probe(&self, backend: BackendId) {
-        let Some(server) = self.fleet.server(backend) else { return };
+        let Some(endpoint) = self.fleet.endpoint(backend) else { return };
         let (fleet, handle, deep) = (Rc::clone(&self.fleet), self.handle.clone(), self.report_by_probe);
         tokio::task::spawn_local(async move {
-            let ended = fleet.probe(server, deep).await;
-            handle.tell(Message::Probed(backend, ended));
+            let result = fleet.probe(endpoint, deep).await;
+            handle.tell(Message::Probed(backend, result));
         });
     }
 }
--- a/src/proxy/framing.rs
+++ b/src/proxy/framing.rs
@@ -1,6 +1,6 @@
-//! Where the messages of a client's connection begin and end. The HTTP library reads them too, but drops a length
-//! beside an encoding and merges repeated lengths without a word; and it does not tell whether a head has begun,
-//! which decides what a connection that has to go would cost.
+//! Where the messages of a client's connection begin and end. The HTTP library reads them too, but drops a
+//! length beside an encoding and merges repeated lengths without a word; and it does not tell whether a head
+//! has begun, which decides what a connection that has to go would cost.
 
 /// The largest line of a chunk's size with its extensions, or of a trailer.
 const LINE_CAP: usize = 4 * 1024;
@@ -51,7 +51,8 @@
         self.heads
     }
 
-    /// Whether the head of that number, from 1 on, says in two ways, or in a way of its own, where its body ends.
+    /// Whether the head of that number, from 1 on, says in two ways, or in a way of its own, where its body
+    /// ends.
     #[must_use]
     pub fn is_ambiguous(&self, head: u64) -> bool {
         self.bad == Some(head)
--- a/src/proxy/inherited.rs
+++ b/src/proxy/inherited.rs
@@ -31,8 +31,8 @@
 
 impl std::error::Error for InheritedError {}
 
-/// The clients' listener that the environment names, if it names one. This has to come before the process opens
-/// anything, so that a number that was not inherited is not taken for one that was.
+/// The clients' listener that the environment names, if it names one. This has to come before the process
+/// opens anything, so that a number that was not inherited is not taken for one that was.
 ///
 /// # Errors
 /// Where it names anything but a listening socket.
@@ -51,13 +51,14 @@
     Ok(Some(socket.into()))
 }
 
-/// A descriptor of our own for an inherited one. Closing it, unlike shutting it down, leaves the socket to the
-/// others that hold it.
+/// A descriptor of our own for an inherited one. Closing it, unlike shutting it down, leaves the socket to
+/// the others that hold it.
 #[allow(unsafe_code)]
 fn duplicate(fd: RawFd) -> io::Result<Socket> {
     // SAFETY: the number is not -1 (the caller takes none below 0), and it is borrowed for this one statement
-    // only, in which nothing closes it: no other thread runs yet, and no code of this process owns the number.
-    // One that is not open is merely reported as such by the kernel, for duplicating reads nothing through it.
+    // only, in which nothing closes it: no other thread runs yet, and no code of this process owns the
+    // number. One that is not open is merely reported as such by the kernel, for duplicating reads nothing
+    // through it.
     let borrowed = unsafe { BorrowedFd::borrow_raw(fd) };
     borrowed.try_clone_to_owned().map(Socket::from)
 }
--- a/src/proxy/lifecycle.rs
+++ b/src/proxy/lifecycle.rs
@@ -1,5 +1,5 @@
-//! The life of the process. Whoever wants to know whether it serves asks here: `/up`, the operators' calls, the
-//! clients' connections and the end of the program.
+//! The life of the process. Whoever wants to know whether it serves asks here: `/up`, the operators' calls,
+//! the clients' connections and the end of the program.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -7,11 +7,11 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// How long a connection that clients hold may still bring a request once the process is to be left alone. Closed
-/// sooner, it would often cross one that is on its way.
+/// How long a connection that clients hold may still bring a request once the process is to be left alone.
+/// Closed sooner, it would often cross one that is on its way.
 const GRACE: Duration = Duration::from_millis(1_500);
-/// Connections on which nothing happens are closed this long before the last answers are due: a request that comes on
-/// one until then still gets its answer.
+/// Connections on which nothing happens are closed this long before the last answers are due: a request that
+/// comes on one until then still gets its answer.
 const CLOSED_BEFORE: Duration = Duration::from_millis(100);
 
 /// How far the process is.
--- a/src/proxy/lines.rs
+++ b/src/proxy/lines.rs
@@ -1,5 +1,5 @@
-//! The clients' connections as they look from outside: how far each one is, since when, and what it would cost to
-//! lose it.
+//! The clients' connections as they look from outside: how far each one is, since when, and what it would
+//! cost to lose it.
 
 use super::ANSWER_STALL;
 use super::ahead::{READ_PIECE, ReadAhead};
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -52,8 +52,8 @@
     (count < LINES_A_SECOND).then_some(0)
 }
 
-/// Connects to a backend or to discovery. The socket is made first and connected then: made and connected in one
-/// call, most connects of whole fleets were seen to fail with EBADF on the bench's clock.
+/// Connects to a backend or to discovery. The socket is made first and connected then: made and connected in
+/// one call, most connects of whole fleets were seen to fail with EBADF on the bench's clock.
 async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_nodelay(true)?;
--- a/src/proxy/operator.rs
+++ b/src/proxy/operator.rs
@@ -28,8 +28,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep, timeout_at};
 
-/// Calls that may be open at a time. Beyond it the one that came first goes: a call that is whole is answered at
-/// once, so that one has been waited for longest.
+/// Calls that may be open at a time. Beyond it the one that came first goes: a call that is whole is answered
+/// at once, so that one has been waited for longest.
 pub const MOST_CALLS: usize = 12;
 /// How long a caller may take for its call.
 const CALL_TIME: Duration = Duration::from_millis(2_000);
--- a/src/proxy/socket.rs
+++ b/src/proxy/socket.rs
@@ -30,8 +30,8 @@
         Self(Rc::new(stream))
     }
 
-    /// What waits to be read. The runtime may not have seen yet what the kernel knows already, so the socket itself
-    /// is asked.
+    /// What waits to be read. The runtime may not have seen yet what the kernel knows already, so the socket
+    /// itself is asked.
     #[must_use]
     pub fn unread(&self) -> Unread {
         let mut byte = [MaybeUninit::uninit()];
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -1,5 +1,5 @@
-//! Attempts over loopback sockets in paused time: what backends send at the wrong moment. Time moves on when nothing
-//! else can.
+//! Attempts over loopback sockets in paused time: what backends send at the wrong moment. Time moves on when
+//! nothing else can.
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tillerproxy::api::{Outcome, Readiness};
-use tillerproxy::proxy::backends::{Call, Ends, Fleet, Over, Served};
+use tillerproxy::proxy::backends::{AttemptDeadlines, Call, CancelSignal, Fleet, Served};
 use tillerproxy::proxy::bodies::{AnswerBody, CallBody, Held, ToClient};
 use tillerproxy::proxy::counters::Counters;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -44,7 +44,7 @@
 fn call(path: &'static str) -> Rc<Call> {
     let (headers, body) = (HeaderMap::new(), CallBody::from(Held::from(Bytes::new())));
     let (method, target) = (Method::GET, Uri::from_static(path));
-    Rc::new(Call { method, target, headers, body, over: Over::default() })
+    Rc::new(Call { method, target, headers, body, cancel: CancelSignal::default() })
 }
 
 /// A fleet of one backend, whose connections are served so.
@@ -63,10 +63,10 @@
 
 async fn ask(fleet: &Rc<Fleet>, path: &'static str) -> String {
     let call = call(path);
-    let ends = Ends { give_up: Instant::now() + Duration::from_secs(1), write_by: None };
+    let deadlines = AttemptDeadlines { give_up: Instant::now() + Duration::from_secs(1), write_by: None };
     let (_keep, cancel) = oneshot::channel();
-    let server = fleet.server(BACKEND).expect("it is listed");
-    let ended = Rc::clone(fleet).attempt(server, call, ends, cancel, |_| {}).await;
+    let endpoint = fleet.endpoint(BACKEND).expect("it is listed");
+    let ended = Rc::clone(fleet).attempt(endpoint, call, deadlines, cancel, |_| {}).await;
     assert_eq!(ended.outcome, Outcome::Ok);
     let AnswerBody::Whole(body) = ended.served.expect("an answer").body else { panic!("it fits") };
     String::from_utf8(body.joined()).expect("text")
@@ -114,14 +114,15 @@
             })
             .await;
             let call = call("/long");
-            let ends = Ends { give_up: Instant::now() + Duration::from_secs(1), write_by: None };
+            let deadlines =
+                AttemptDeadlines { give_up: Instant::now() + Duration::from_secs(1), write_by: None };
             let (_keep, cancel) = oneshot::channel();
             let (told, body) = oneshot::channel();
-            let server = fleet.server(BACKEND).expect("it is listed");
+            let endpoint = fleet.endpoint(BACKEND).expect("it is listed");
             let over = Rc::clone(&call);
             spawn_local(async move {
                 sleep(OVER).await;
-                over.over.tell();
+                over.cancel.trigger();
             });
             let client = spawn_local(async move {
                 let mut body: ToClient = body.await.expect("it begins");
@@ -135,7 +136,7 @@
             });
             let begins = |served: Served| assert!(told.send(served.body.into()).is_ok());
             let began = Instant::now();
-            let ended = fleet.attempt(server, call, ends, cancel, begins).await;
+            let ended = fleet.attempt(endpoint, call, deadlines, cancel, begins).await;
             (ended.outcome, began.elapsed(), client.await.expect("a client"))
         };
         let (outcome, took, got) = LocalSet::new().run_until(test).await;
--- a/tests/proxy/forms.rs
+++ b/tests/proxy/forms.rs
@@ -155,8 +155,8 @@
     }
 }
 
-/// The connection breaks before the last byte, so it has not run, and this class may be sent anywhere again; but
-/// what has left of its body is not held any more.
+/// The connection breaks before the last byte, so it has not run, and this class may be sent anywhere again;
+/// but what has left of its body is not held any more.
 #[test]
 fn a_body_that_has_partly_left_is_not_sent_again() {
     let (told, accepted) = channel();
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -18,8 +18,8 @@
 
 const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
 
-/// Clients whose requests take all the room that the module gives a lone backend at its start, the backend, and
-/// the words that let it answer them. Further requests are answered at once.
+/// Clients whose requests take all the room that the module gives a lone backend at its start, the backend,
+/// and the words that let it answer them. Further requests are answered at once.
 fn full_backend() -> (Backend, Vec<Sender<()>>) {
     let (mut words, mut releases) = (Vec::new(), Vec::new());
     for _ in 0..ROOM {
@@ -177,7 +177,8 @@
     assert_eq!(proxy.client().ask(&request("charge", "1", "x")).body, b"later", "the id is free again");
 }
 
-/// Clients that are owed an end within 3 s. The span is checked loosely, so that a busy machine changes nothing.
+/// Clients that are owed an end within 3 s. The span is checked loosely, so that a busy machine changes
+/// nothing.
 #[test]
 fn silence_and_half_a_request_end_with_an_error_or_a_close() {
     let discovery = Discovery::start();
@@ -212,7 +213,8 @@
     assert_eq!(backend.next().body.len(), body.len());
 }
 
-/// Backends send good answers beyond the protocol's cap, and as many as come are passed on, one after another.
+/// Backends send good answers beyond the protocol's cap, and as many as come are passed on, one after
+/// another.
 #[test]
 fn a_large_answer_passes() {
     let discovery = Discovery::start();
@@ -244,8 +246,8 @@
     }
 }
 
-/// What can't become an answer, from a backend that keeps the connection open and says no more. Waiting on would
-/// leave no time for another attempt; taking it for a broken connection would blame a healthy backend.
+/// What can't become an answer, from a backend that keeps the connection open and says no more. Waiting on
+/// would leave no time for another attempt; taking it for a broken connection would blame a healthy backend.
 #[test]
 fn an_answer_that_cannot_become_good_fails_at_once_and_is_tried_elsewhere_only_where_it_may() {
     let endless_head = format!("HTTP/1.1 200 OK\r\nX-Long: {}", "y".repeat(20_000));
--- a/tests/proxy/moments.rs
+++ b/tests/proxy/moments.rs
@@ -10,7 +10,8 @@
 /// A connection that is asked for again and again comes up this long after its queue has room, at the latest.
 const COMES_UP: Duration = Duration::from_secs(4);
 
-/// The ids of the requests that come on connections to a backend, which answers them, until none has come up for long.
+/// The ids of the requests that come on connections to a backend, which answers them, until none has come up
+/// for long.
 fn ids_that_come(listener: TcpListener) -> Vec<String> {
     let listener = socket2::Socket::from(listener);
     listener.set_read_timeout(Some(COMES_UP)).expect("a time-out");
@@ -44,8 +45,8 @@
 /// For how long backends drop a repeat.
 const WINDOW: Duration = Duration::from_millis(600);
 
-/// The window counts from the first attempt that may have run, and ends before the connection of the second comes up.
-/// From then on a refusal, which says that trying again is harmless, would be wrong as well.
+/// The window counts from the first attempt that may have run, and ends before the connection of the second
+/// comes up. From then on a refusal, which says that trying again is harmless, would be wrong as well.
 #[test]
 fn a_repeat_of_a_key_is_not_sent_once_backends_may_have_forgotten_it() {
     for group in ["cell", "all"] {
@@ -364,8 +365,8 @@
     sending.join().expect("a thread").expect("the proxy reads all");
 }
 
-/// The one connection that there is room for is taken while another waits in the kernel's queue with its request. The
-/// process is told to end, and the first connection ends when nothing else keeps the process.
+/// The one connection that there is room for is taken while another waits in the kernel's queue with its
+/// request. The process is told to end, and the first connection ends when nothing else keeps the process.
 #[test]
 fn a_request_that_waits_to_be_accepted_is_served_before_the_process_ends() {
     let discovery = Discovery::start();
@@ -395,7 +396,8 @@
     assert_eq!(proxy.wait().code(), Some(0));
 }
 
-/// The process gets no core until the time is over for which connections are accepted in any case, and one waits then.
+/// The process gets no core until the time is over for which connections are accepted in any case, and one
+/// waits then.
 #[test]
 fn a_request_that_came_while_the_process_stood_still_is_served_before_it_ends() {
     let discovery = Discovery::start();
@@ -421,8 +423,8 @@
     assert_eq!(proxy.wait().code(), Some(0));
 }
 
-/// Its client reads nothing until the process has been told to end, so most of the answer waits in front of it. It begins
-/// before the signal, or behind it and then closes its connection.
+/// Its client reads nothing until the process has been told to end, so most of the answer waits in front of
+/// it. It begins before the signal, or behind it and then closes its connection.
 #[test]
 fn an_answer_that_is_read_late_is_whole_before_the_process_ends() {
     const LENGTH: usize = 8 << 20;
@@ -461,7 +463,8 @@
 /// The platform may kill the process 3.7 s after the signal, however long the deadlines are.
 const KILLED_AFTER: Duration = Duration::from_millis(3_700);
 
-/// Signals come twice and together, the backend hangs, one connection says nothing, one body is still flowing.
+/// Signals come twice and together, the backend hangs, one connection says nothing, one body is still
+/// flowing.
 #[test]
 fn what_comes_behind_sigterm_is_answered_before_the_process_may_be_killed() {
     let discovery = Discovery::start();
@@ -567,8 +570,8 @@
     (address, came)
 }
 
-/// Its client has an answer, so the rest of the body must not make it run after all; and nothing that comes ahead of the
-/// whole request can be its answer.
+/// Its client has an answer, so the rest of the body must not make it run after all; and nothing that comes
+/// ahead of the whole request can be its answer.
 #[test]
 fn a_request_that_is_answered_ahead_of_its_body_does_not_arrive_whole_later() {
     const LENGTH: usize = 3 << 20;
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -168,8 +168,8 @@
         self.seen.try_iter().count()
     }
 
-    /// Waits until the kernel holds no connection to it that its peer could still take for open: the close of each
-    /// has reached the peer's socket, whether or not the peer's process has looked at it.
+    /// Waits until the kernel holds no connection to it that its peer could still take for open: the close of
+    /// each has reached the peer's socket, whether or not the peer's process has looked at it.
     pub fn wait_until_closed(&self) {
         let began = Instant::now();
         while has_established_to(self.address) {
