Split the bodies into modules, and name them by the field's terms

It is now the folder src/proxy/bodies/: buffered, deadline, upload, streamed and outgoing. Names that needed explaining give way to standard terms: Held is BufferedBody, Gathered is BodyBuffer, Giver is AnswerSender, Passing is StreamedAnswer, Pace is BodyDeadline, Sent is OutgoingBody, ToBackend and ToClient are RequestBody and ResponseBody, Waiting is PendingUpload.

No behaviour changes; the tests assert what they did.

--- a/src/proxy/backends/attempt.rs
+++ b/src/proxy/backends/attempt.rs
@@ -8,7 +8,7 @@
 use super::reply::{PartialBody, Reply, ReplyBody};
 use super::request::{build_request, least_size};
 use crate::api::Outcome;
-use crate::proxy::bodies::{AnswerBody, Held, Passing, ToBackend};
+use crate::proxy::bodies::{AnswerBody, BufferedBody, RequestBody, StreamedAnswer};
 use hyper::Request;
 use hyper::body::Body;
 use hyper::header::{CONTENT_TYPE, HeaderMap};
@@ -67,7 +67,7 @@
             self.fleet.keep(self.endpoint, connection);
             return Outcome::Moot.into();
         }
-        let Some(body) = self.call.body.to_backend() else { return Outcome::Moot.into() };
+        let Some(body) = self.call.body.for_attempt() else { return Outcome::Moot.into() };
         let request = build_request(self.call, body, self.endpoint.address(), left);
         let whole_at = whole_at(&connection, &request);
         connection.wire.begin_request(whole_at);
@@ -86,7 +86,7 @@
     async fn exchange(
         &self,
         connection: &mut Connection,
-        request: Request<ToBackend>,
+        request: Request<RequestBody>,
         whole_at: Option<u64>,
         left: Duration,
         cancel: &mut oneshot::Receiver<()>,
@@ -116,7 +116,7 @@
     fn is_written_on(&self, written: u64, whole_at: Option<u64>) -> bool {
         match whole_at {
             Some(whole) => written >= whole,
-            None => self.call.body.progress().is_some_and(|progress| progress.done_at().is_some()),
+            None => self.call.body.progress().is_some_and(|progress| progress.finished_at().is_some()),
         }
     }
 
@@ -135,7 +135,7 @@
                 if outcome == Outcome::Ok {
                     self.fleet.keep(self.endpoint, connection);
                 }
-                let body = ReplyBody::Whole(Held::default());
+                let body = ReplyBody::Whole(BufferedBody::default());
                 let result = self.fleet.result_of(Reply { status, headers, body });
                 AttemptResult { outcome, served: None, ..result }
             }
@@ -155,8 +155,8 @@
         cancel: oneshot::Receiver<()>,
         begins: impl FnOnce(Served),
     ) -> Outcome {
-        let (sender, passing) = Passing::channel(answer.length);
-        let body = AnswerBody::Passing(passing);
+        let (sender, streamed) = StreamedAnswer::channel(answer.length);
+        let body = AnswerBody::Streamed(streamed);
         begins(Served { body, content_type: headers.get(CONTENT_TYPE).cloned() });
         relay_answer(sender, answer, cancel, &self.call.cancel).await
     }
@@ -204,7 +204,7 @@
 }
 
 /// The count of bytes at which a request is written whole; `None` for a body without a length.
-fn whole_at(connection: &Connection, request: &Request<ToBackend>) -> Option<u64> {
+fn whole_at(connection: &Connection, request: &Request<RequestBody>) -> Option<u64> {
     let length = request.body().size_hint().exact()?;
     Some(connection.wire.written() + least_size(request, length))
 }
--- a/src/proxy/backends/connection.rs
+++ b/src/proxy/backends/connection.rs
@@ -4,7 +4,7 @@
 use super::fleet::Endpoint;
 use super::stray_bytes::StrayBytes;
 use crate::api::Outcome;
-use crate::proxy::bodies::ToBackend;
+use crate::proxy::bodies::RequestBody;
 use crate::proxy::connect;
 use crate::proxy::counters::Counters;
 use crate::proxy::socket::Socket;
@@ -136,7 +136,7 @@
 
 /// One connection to a backend. Dropping it closes it, whatever is out on it.
 pub(super) struct Connection {
-    pub(super) sender: SendRequest<ToBackend>,
+    pub(super) sender: SendRequest<RequestBody>,
     pub(super) wire: Rc<Wire>,
     task: JoinHandle<()>,
     /// The generation of the endpoint that it belongs to.
--- a/src/proxy/backends/exchange.rs
+++ b/src/proxy/backends/exchange.rs
@@ -1,7 +1,7 @@
 //! One request written and its answer read.
 
 use super::reply::{PartialBody, Reply, ReplyBody};
-use crate::proxy::bodies::{Gathered, ToBackend, next_data};
+use crate::proxy::bodies::{BodyBuffer, RequestBody, next_data};
 use crate::proxy::{BODY_CAP, PASS_CAP};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::SendRequest;
@@ -37,8 +37,8 @@
 /// Writes a request and reads the answer. A body that fits is read whole, so that one that breaks off never
 /// becomes an answer.
 pub(super) async fn exchange(
-    sender: &mut SendRequest<ToBackend>,
-    request: Request<ToBackend>,
+    sender: &mut SendRequest<RequestBody>,
+    request: Request<RequestBody>,
 ) -> Result<Reply, ExchangeError> {
     let response = sender.send_request(request).await?;
     if !can_become_whole(&response) {
@@ -53,7 +53,7 @@
 async fn read_body(mut body: Incoming, good: bool) -> Result<ReplyBody, ExchangeError> {
     let length = body.size_hint().exact();
     let stream_at = Instant::now() + STREAM_AFTER;
-    let mut first = Gathered::default();
+    let mut first = BodyBuffer::default();
     while length.is_none_or(|length| length <= BODY_CAP as u64) && first.len() <= BODY_CAP {
         let data = match timeout_at(stream_at, next_data(&mut body)).await {
             Ok(data) => data,
--- a/src/proxy/backends/probe.rs
+++ b/src/proxy/backends/probe.rs
@@ -6,7 +6,7 @@
 use super::reply::{Reply, ReplyBody};
 use super::request::build_request;
 use crate::api::Outcome;
-use crate::proxy::bodies::{Held, ToBackend};
+use crate::proxy::bodies::{BufferedBody, RequestBody};
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use std::rc::Rc;
@@ -27,7 +27,7 @@
             Err(error) => return error.outcome().into(),
         };
         let call = probe_call(if deep { LOAD_PATH } else { ALIVE_PATH });
-        let body = ToBackend::Whole(Held::default());
+        let body = RequestBody::Buffered(BufferedBody::default());
         let request = build_request(&call, body, endpoint.address(), PROBE_TIMEOUT);
         connection.wire.begin_request(None);
         let reply = match timeout_at(until, exchange(&mut connection.sender, request)).await {
@@ -61,7 +61,7 @@
         method: Method::GET,
         target: Uri::from_static(path),
         headers: HeaderMap::new(),
-        body: Held::default().into(),
+        body: BufferedBody::default().into(),
         cancel: CancelSignal::default(),
     }
 }
--- a/src/proxy/backends/reply.rs
+++ b/src/proxy/backends/reply.rs
@@ -3,7 +3,7 @@
 use super::call::{AttemptResult, Served};
 use super::fleet::Fleet;
 use crate::api::Outcome;
-use crate::proxy::bodies::{AnswerBody, Held};
+use crate::proxy::bodies::{AnswerBody, BufferedBody};
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderName};
@@ -20,7 +20,7 @@
 
 pub(super) enum ReplyBody {
     /// The whole of it.
-    Whole(Held),
+    Whole(BufferedBody),
     /// It is good so far and is to be passed on.
     Partial(PartialBody),
     /// It is of no use, and too large to be read for the sake of its connection.
@@ -30,7 +30,7 @@
 /// An answer of which some has come.
 pub(super) struct PartialBody {
     /// What has come.
-    pub(super) first: Held,
+    pub(super) first: BufferedBody,
     /// What is still to come.
     pub(super) rest: Incoming,
     /// The length of all of it, where the backend told it.
@@ -59,7 +59,7 @@
         let content_type = reply.headers.get(CONTENT_TYPE).cloned();
         let served = match reply.body {
             ReplyBody::Whole(body) if outcome == Outcome::Ok => {
-                Some(Served { body: AnswerBody::Whole(body), content_type })
+                Some(Served { body: AnswerBody::Buffered(body), content_type })
             }
             _ => None,
         };
--- a/src/proxy/backends/request.rs
+++ b/src/proxy/backends/request.rs
@@ -1,7 +1,7 @@
 //! An attempt's HTTP request as it is written.
 
 use super::call::Call;
-use crate::proxy::bodies::ToBackend;
+use crate::proxy::bodies::RequestBody;
 use hyper::body::Body;
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderName, HeaderValue};
 use hyper::{Method, Request};
@@ -13,10 +13,10 @@
 /// The request of a call to the backend at `address`, which has `left` to answer.
 pub(super) fn build_request(
     call: &Call,
-    body: ToBackend,
+    body: RequestBody,
     address: SocketAddr,
     left: Duration,
-) -> Request<ToBackend> {
+) -> Request<RequestBody> {
     let length = body.size_hint().exact();
     let mut request = Request::new(body);
     *request.method_mut() = call.method.clone();
@@ -39,7 +39,7 @@
 }
 
 /// The bytes that a request takes on the wire at the least. Fewer written: the backend can't have begun it.
-pub(super) fn least_size(request: &Request<ToBackend>, body: u64) -> u64 {
+pub(super) fn least_size(request: &Request<RequestBody>, body: u64) -> u64 {
     let target = request.uri().path_and_query().map_or(1, |t| t.as_str().len());
     let line = request.method().as_str().len() + " ".len() + target + " HTTP/1.1\r\n".len();
     let fields =
--- a/src/proxy/bodies/tests.rs
+++ b/src/proxy/bodies/buffered/tests.rs
@@ -4,7 +4,7 @@
 fn what_comes_in_pieces_is_held_in_pieces_of_one_size() {
     let whole: Vec<u8> = (0..700_000_u32).map(|i| (i / 3) as u8).collect();
     for size in [13, 9_000, 700_000] {
-        let mut gathered = Gathered::default();
+        let mut gathered = BodyBuffer::default();
         whole.chunks(size).for_each(|piece| gathered.add(Bytes::copy_from_slice(piece)));
         assert_eq!(gathered.len(), whole.len());
         let held = gathered.take();
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -1,7 +1,9 @@
 //! The clients' side: the listener, requests in, answers out.
 
 use super::backends::{Call, CancelSignal};
-use super::bodies::{AnswerBody, CallBody, Gathered, Held, Pace, ToClient, Upload, next_data};
+use super::bodies::{
+    AnswerBody, BodyBuffer, BodyDeadline, BufferedBody, CallBody, ResponseBody, Upload, next_data,
+};
 use super::budget::{Budget, Reserved};
 use super::clock::Clock;
 use super::config::Names;
@@ -107,7 +109,7 @@
         }
     }
 
-    pub(super) fn into_response(self) -> Response<Held> {
+    pub(super) fn into_response(self) -> Response<BufferedBody> {
         let mut response = plain(self.status, self.why);
         if let Some(allowed) = self.allow {
             response.headers_mut().insert(header::ALLOW, HeaderValue::from_static(allowed));
@@ -240,11 +242,11 @@
             Box::pin(async move {
                 let mut response = clients.respond(request, &line, number).await;
                 match response.body_mut() {
-                    ToClient::Whole(_) => {
+                    ResponseBody::Buffered(_) => {
                         line.answer();
                         clients.look_for_room();
                     }
-                    ToClient::Passing(passing) => passing.hold(line),
+                    ResponseBody::Streamed(streamed) => streamed.set_connection(line),
                 }
                 Ok::<_, Infallible>(response)
             })
@@ -306,25 +308,25 @@
     }
 
     /// Answers the request of that number on a connection.
-    async fn respond(&self, request: Request<Incoming>, line: &Line, number: u64) -> Response<ToClient> {
+    async fn respond(&self, request: Request<Incoming>, line: &Line, number: u64) -> Response<ResponseBody> {
         let now = Instant::now();
         let late = if number == 1 { line.connected() + REQUEST_TIME } else { now + REQUEST_TIME };
-        let pace = Pace { late: late.max(now + BODY_LEAST) };
+        let deadline = BodyDeadline { grace_ends: late.max(now + BODY_LEAST) };
         let mut response = if self.is_check(&request) {
-            self.up().map(ToClient::Whole)
+            self.up().map(ResponseBody::Buffered)
         } else {
             // Rule 2: whoever reads the other end of the body takes a part of it for a request.
             let inbound = if line.is_ambiguous(number) {
                 Err(Rejected::new(StatusCode::BAD_REQUEST, "the body may end in two places\n"))
             } else {
-                self.inbound(request, pace).await
+                self.inbound(request, deadline).await
             };
             let answered = match inbound {
                 Ok(inbound) => self.ask(inbound, line).await,
                 Err(rejected) => Err(rejected),
             };
             answered.unwrap_or_else(|rejected| {
-                let mut response = rejected.into_response().map(ToClient::Whole);
+                let mut response = rejected.into_response().map(ResponseBody::Buffered);
                 // What follows a request that makes no sense may be a part of it.
                 close(&mut response);
                 response
@@ -344,7 +346,7 @@
         request.uri().path() == "/up" && !asks_a_class()
     }
 
-    fn up(&self) -> Response<Held> {
+    fn up(&self) -> Response<BufferedBody> {
         if self.lifecycle.is_up() {
             plain(StatusCode::OK, "up\n")
         } else {
@@ -352,7 +354,7 @@
         }
     }
 
-    async fn ask(&self, inbound: Inbound, line: &Line) -> Result<Response<ToClient>, Rejected> {
+    async fn ask(&self, inbound: Inbound, line: &Line) -> Result<Response<ResponseBody>, Rejected> {
         // It may have left before its connection was accepted, say.
         if line.is_left() {
             return Err(LEFT);
@@ -361,7 +363,7 @@
         let Some(_id) = OpenId::claim(&self.ids, &inbound.call.headers) else {
             return Err(Rejected::new(StatusCode::CONFLICT, "a request of this id is open\n"));
         };
-        let rest = inbound.call.body.rest();
+        let rest = inbound.call.body.pending_upload();
         let (sender, answer) = oneshot::channel();
         let ticket = self.counters.take(inbound.request.class);
         let guard = Guard { handle: &self.handle, request: inbound.request.id, answered: false };
@@ -383,10 +385,10 @@
             Ok(Answer::Served(served)) => {
                 let mut body = served.body;
                 match &mut body {
-                    AnswerBody::Whole(_) => ticket.note(End::Passed),
-                    AnswerBody::Passing(passing) => passing.carry(ticket),
+                    AnswerBody::Buffered(_) => ticket.note(End::Passed),
+                    AnswerBody::Streamed(streamed) => streamed.set_ticket(ticket),
                 }
-                let mut response = Response::new(ToClient::from(body));
+                let mut response = Response::new(ResponseBody::from(body));
                 if let Some(content_type) = served.content_type {
                     response.headers_mut().insert(header::CONTENT_TYPE, content_type);
                 }
@@ -398,38 +400,44 @@
         ticket.note(end);
         // A request is taken with its last byte. Answered before, its client would be cut off.
         if let Some(upload) = rest.and_then(|rest| rest.take()) {
-            upload.read_out().await;
+            upload.drain().await;
         }
-        Ok(response.map(ToClient::Whole))
+        Ok(response.map(ResponseBody::Buffered))
     }
 
     /// Reads a request's body, as far as it is to be held.
-    async fn collect(&self, mut body: Incoming, pace: Pace) -> Result<CallBody, Rejected> {
+    async fn collect(&self, mut body: Incoming, deadline: BodyDeadline) -> Result<CallBody, Rejected> {
         let is_small = body.size_hint().exact().is_none_or(|length| length <= HOLD_CAP as u64);
-        let (mut held, mut reserved) = (Gathered::default(), Vec::new());
+        let (mut held, mut reserved) = (BodyBuffer::default(), Vec::new());
         while is_small && held.len() <= HOLD_CAP {
-            let data = timeout_at(pace.late(held.len() as u64), next_data(&mut body)).await;
+            let data = timeout_at(deadline.after(held.len() as u64), next_data(&mut body)).await;
             let data = data.map_err(|_| Rejected::new(StatusCode::REQUEST_TIMEOUT, "the body is late\n"))?;
             match data.map_err(|_| Rejected::new(StatusCode::BAD_REQUEST, "the body is broken\n"))? {
                 Some(data) => held.add(data),
-                None => return Ok(CallBody::Whole(held.take(), reserved)),
+                None => return Ok(CallBody::Buffered(held.take(), reserved)),
             }
             // Each part is reserved when it comes: a slow client takes no more than it has sent.
             while held.len() > (reserved.len() + 1) * BODY_CAP {
                 let Some(part) = self.budget.bodies.reserve(BODY_CAP) else {
-                    return Ok(self.upload(held, reserved, body, pace));
+                    return Ok(self.upload(held, reserved, body, deadline));
                 };
                 reserved.push(part);
             }
         }
-        Ok(self.upload(held, reserved, body, pace))
+        Ok(self.upload(held, reserved, body, deadline))
     }
 
-    fn upload(&self, held: Gathered, reserved: Vec<Reserved>, rest: Incoming, pace: Pace) -> CallBody {
-        Upload::new(held.take(), reserved, rest, pace, Rc::clone(&self.counters)).into()
+    fn upload(
+        &self,
+        held: BodyBuffer,
+        reserved: Vec<Reserved>,
+        rest: Incoming,
+        deadline: BodyDeadline,
+    ) -> CallBody {
+        Upload::new(held.take(), reserved, rest, deadline, Rc::clone(&self.counters)).into()
     }
 
-    async fn inbound(&self, request: Request<Incoming>, pace: Pace) -> Result<Inbound, Rejected> {
+    async fn inbound(&self, request: Request<Incoming>, deadline: BodyDeadline) -> Result<Inbound, Rejected> {
         let (head, body) = request.into_parts();
         let bad = |why| Rejected::new(StatusCode::BAD_REQUEST, why);
         let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
@@ -475,7 +483,7 @@
             work: text(WEIGHT_HINT).and_then(|v| v.trim().parse().ok()),
             repeat: text(REPEAT) == Some("1"),
         };
-        let body = self.collect(body, pace).await?;
+        let body = self.collect(body, deadline).await?;
         let (target, headers) = origin_form(head.uri, forwarded(head.headers));
         let call = Call { method: head.method, target, headers, body, cancel: CancelSignal::default() };
         // The time of a request counts from its last byte.
@@ -575,14 +583,14 @@
     })
 }
 
-pub(super) fn plain(status: StatusCode, text: &'static str) -> Response<Held> {
-    let mut response = Response::new(Held::from(Bytes::from_static(text.as_bytes())));
+pub(super) fn plain(status: StatusCode, text: &'static str) -> Response<BufferedBody> {
+    let mut response = Response::new(BufferedBody::from(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     response
 }
 
-fn refusal(retry_after: Micros) -> Response<Held> {
+fn refusal(retry_after: Micros) -> Response<BufferedBody> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "no room\n");
     if retry_after > 0
         && let Ok(seconds) = HeaderValue::try_from(format!("{:.3}", retry_after as f64 / 1e6))
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -243,7 +243,7 @@
         let Some(open) = self.open.get_mut(&request) else { return };
         // Its time counts from its last byte.
         if let Some(progress) = open.call.body.progress() {
-            let began = progress.done_at().map_or(now, |at| self.clock.at(at));
+            let began = progress.finished_at().map_or(now, |at| self.clock.at(at));
             let mut last = began + open.left.saturating_sub(LAST_MARGIN.min(open.left / 4));
             if let Some(end) = self.lifecycle.ends_at() {
                 last = last.min(self.clock.at(end).saturating_sub(ENDS_AFTER));
@@ -344,7 +344,7 @@
 
     /// How long an attempt took so far; that its request's body was still coming is not its backend's time.
     fn elapsed(&self, now: Micros, open: &Open, attempt: &Attempt) -> Micros {
-        let whole_at = open.call.body.progress().and_then(|progress| progress.done_at());
+        let whole_at = open.call.body.progress().and_then(|progress| progress.finished_at());
         now.saturating_sub(whole_at.map_or(0, |at| self.clock.at(at)).max(attempt.sent_at))
     }
 
--- a/src/proxy/operator.rs
+++ b/src/proxy/operator.rs
@@ -1,7 +1,7 @@
 //! The operators' address: one call to a connection, answered from memory.
 
 use super::backends::Fleet;
-use super::bodies::Held;
+use super::bodies::BufferedBody;
 use super::clients::{Rejected, linger, plain};
 use super::counters::Counters;
 use super::driver::{Handle, Message};
@@ -41,7 +41,7 @@
 /// The text form of the figures.
 const FORM: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4; charset=utf-8");
 
-type Answer = Response<Held>;
+type Answer = Response<BufferedBody>;
 
 /// Answers operators.
 pub struct Operator {
@@ -148,7 +148,7 @@
         let (sender, avoided) = oneshot::channel();
         self.handle.tell(Message::Avoided(sender));
         let text = self.counters.text(self.fleet.len(), avoided.await.unwrap_or_default());
-        let mut response = Response::new(Held::from(Bytes::from(text)));
+        let mut response = Response::new(BufferedBody::from(Bytes::from(text)));
         response.headers_mut().insert(header::CONTENT_TYPE, FORM);
         response
     }
--- /dev/null
+++ b/src/proxy/read_ahead/tests.rs
@@ -0,0 +1,62 @@
+use super::*;
+use crate::proxy::budget::Budget;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::Wake;
+
+/// Tells whether it was woken.
+struct Woken(AtomicBool);
+
+impl Wake for Woken {
+    fn wake(self: Arc<Self>) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// The memory of a process that has 5 MB, a fifth of which may hold bodies.
+fn memory() -> budget::Bytes {
+    Budget::of(100, 5, 10, 1).bodies
+}
+
+fn fill(ahead: &mut ReadAhead, memory: &budget::Bytes) -> usize {
+    let mut pieces = 0;
+    while ahead.make_room(memory) {
+        ahead.add(&[pieces as u8; READ_PIECE]);
+        pieces += 1;
+    }
+    pieces * READ_PIECE
+}
+
+#[test]
+fn bytes_come_out_in_their_order_and_their_memory_is_given_back() {
+    let (memory, mut ahead) = (memory(), ReadAhead::default());
+    let held = fill(&mut ahead, &memory);
+    assert_eq!(held, 1 << 20, "as much as there is memory for");
+    assert!(memory.reserve(1).is_none());
+    let mut got = Vec::new();
+    while !ahead.is_empty() {
+        let mut piece = [0; 10_000];
+        let mut buffer = ReadBuf::new(&mut piece);
+        ahead.hand_over(&mut buffer);
+        got.extend_from_slice(buffer.filled());
+    }
+    let expected: Vec<u8> = (0..held).map(|at| (at / READ_PIECE) as u8).collect();
+    assert!(got == expected);
+    assert!(memory.reserve(1 << 20).is_some(), "nothing is reserved any more");
+}
+
+#[test]
+fn one_connection_holds_no_more_than_its_cap() {
+    let (memory, mut ahead) = (Budget::of(100, 200, 10, 1).bodies, ReadAhead::default());
+    assert_eq!(fill(&mut ahead, &memory), READ_AHEAD_CAP);
+}
+
+#[test]
+fn a_reader_that_found_nothing_is_woken_by_what_is_added() {
+    let mut ahead = ReadAhead::default();
+    let woken = Arc::new(Woken(AtomicBool::new(false)));
+    ahead.wake_later(&Arc::clone(&woken).into());
+    assert!(!woken.0.load(Ordering::Relaxed));
+    ahead.add(b"bytes");
+    assert!(woken.0.load(Ordering::Relaxed));
+}
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tillerproxy::api::{Outcome, Readiness};
 use tillerproxy::proxy::backends::{AttemptDeadlines, Call, CancelSignal, Fleet, Served};
-use tillerproxy::proxy::bodies::{AnswerBody, CallBody, Held, ToClient};
+use tillerproxy::proxy::bodies::{AnswerBody, BufferedBody, CallBody, ResponseBody};
 use tillerproxy::proxy::counters::Counters;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -42,7 +42,7 @@
 }
 
 fn call(path: &'static str) -> Rc<Call> {
-    let (headers, body) = (HeaderMap::new(), CallBody::from(Held::from(Bytes::new())));
+    let (headers, body) = (HeaderMap::new(), CallBody::from(BufferedBody::from(Bytes::new())));
     let (method, target) = (Method::GET, Uri::from_static(path));
     Rc::new(Call { method, target, headers, body, cancel: CancelSignal::default() })
 }
@@ -68,7 +68,7 @@
     let endpoint = fleet.endpoint(BACKEND).expect("it is listed");
     let ended = Rc::clone(fleet).attempt(endpoint, call, deadlines, cancel, |_| {}).await;
     assert_eq!(ended.outcome, Outcome::Ok);
-    let AnswerBody::Whole(body) = ended.served.expect("an answer").body else { panic!("it fits") };
+    let AnswerBody::Buffered(body) = ended.served.expect("an answer").body else { panic!("it fits") };
     String::from_utf8(body.joined()).expect("text")
 }
 
@@ -125,7 +125,7 @@
                 over.cancel.trigger();
             });
             let client = spawn_local(async move {
-                let mut body: ToClient = body.await.expect("it begins");
+                let mut body: ResponseBody = body.await.expect("it begins");
                 let mut got = 0;
                 while let Some(Ok(frame)) = body.frame().await {
                     let taken = frame.into_data().expect("data").len();
