Name a client's connection and its eviction by the field's terms

Line is ClientConnection, Lines is ClientConnections and LineIo is ClientIo, in connections.rs, which was lines.rs; ahead.rs is read_ahead.rs.

No behaviour changes; the tests assert what they did.

--- a/src/proxy/bodies/streamed.rs
+++ b/src/proxy/bodies/streamed.rs
@@ -1,7 +1,7 @@
 //! An answer that is streamed from its backend to its client.
 
+use crate::proxy::connections::ClientConnection;
 use crate::proxy::counters::{End, Ticket};
-use crate::proxy::lines::Line;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::fmt;
@@ -54,12 +54,12 @@
     /// Counted as passed with its last byte.
     ticket: Option<Ticket>,
     /// The connection that it goes out on, which has its answer when this is dropped.
-    line: Option<Rc<Line>>,
+    connection: Option<Rc<ClientConnection>>,
 }
 
 impl Drop for StreamedAnswer {
     fn drop(&mut self) {
-        self.line.iter().for_each(|line| line.answer());
+        self.connection.iter().for_each(|connection| connection.end_request());
     }
 }
 
@@ -74,7 +74,7 @@
     #[must_use]
     pub fn channel(length: Option<u64>) -> (AnswerSender, Self) {
         let (sender, pieces) = mpsc::channel(1);
-        (AnswerSender(sender), Self { pieces, left: length, ticket: None, line: None })
+        (AnswerSender(sender), Self { pieces, left: length, ticket: None, connection: None })
     }
 
     /// The request that it answers, counted when it ends.
@@ -83,8 +83,8 @@
     }
 
     /// The connection that it goes out on.
-    pub fn set_connection(&mut self, line: Rc<Line>) {
-        self.line = Some(line);
+    pub fn set_connection(&mut self, connection: Rc<ClientConnection>) {
+        self.connection = Some(connection);
     }
 
     fn note(&self, end: End) {
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -7,10 +7,10 @@
 use super::budget::{Budget, Reserved};
 use super::clock::Clock;
 use super::config::Names;
+use super::connections::{ClientConnection, ClientConnections, ClientIo};
 use super::counters::{Counters, End};
 use super::driver::{Answer, Handle, Inbound, Message};
 use super::lifecycle::Lifecycle;
-use super::lines::{Line, LineIo, Lines};
 use super::socket::Socket;
 use super::{BODY_CAP, PASS_CAP, log};
 use crate::api::{Effect, Micros, RequestId, Settings};
@@ -83,7 +83,7 @@
     freed: Notify,
     /// Somebody waits to be accepted, and looks again when a connection has ended or become idle.
     wants_room: Cell<bool>,
-    lines: RefCell<Lines>,
+    connections: RefCell<ClientConnections>,
     accepted_at: Cell<Instant>,
     /// The ids of the requests that have no answer yet.
     ids: RefCell<FxHashSet<HeaderValue>>,
@@ -151,7 +151,7 @@
             open: Cell::new(0),
             freed: Notify::new(),
             wants_room: Cell::new(false),
-            lines: RefCell::default(),
+            connections: RefCell::default(),
             accepted_at: Cell::new(Instant::now()),
             ids: RefCell::default(),
         })
@@ -180,7 +180,7 @@
             // Beyond the cap clients wait in the kernel's queue instead of taking the backends' descriptors.
             // Connections that are held without a request would keep them there: the cheapest to lose goes.
             while self.open.get() >= self.budget.clients {
-                self.lines.borrow().make_room();
+                self.connections.borrow().evict_one();
                 self.wants_room.set(true);
                 self.freed.notified().await;
             }
@@ -225,28 +225,28 @@
 
     async fn connection(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let line = Rc::new(Line::new(stream, HEAD_CAP));
-        let place = self.lines.borrow_mut().add(&line);
-        self.serve(&line).await;
-        self.lines.borrow_mut().remove(place);
+        let connection = Rc::new(ClientConnection::new(stream, HEAD_CAP));
+        let number = self.connections.borrow_mut().add(&connection);
+        self.serve(&connection).await;
+        self.connections.borrow_mut().remove(number);
         self.open.set(self.open.get() - 1);
         self.freed.notify_waiters();
     }
 
     /// Serves one connection to its end.
-    async fn serve(self: &Rc<Self>, line: &Rc<Line>) {
-        let (clients, asked) = (Rc::clone(self), Rc::clone(line));
+    async fn serve(self: &Rc<Self>, connection: &Rc<ClientConnection>) {
+        let (clients, shared) = (Rc::clone(self), Rc::clone(connection));
         let service = service_fn(move |request| -> Pin<Box<dyn Future<Output = _>>> {
-            let (clients, line) = (Rc::clone(&clients), Rc::clone(&asked));
-            let number = line.ask();
+            let (clients, connection) = (Rc::clone(&clients), Rc::clone(&shared));
+            let number = connection.begin_request();
             Box::pin(async move {
-                let mut response = clients.respond(request, &line, number).await;
+                let mut response = clients.respond(request, &connection, number).await;
                 match response.body_mut() {
                     ResponseBody::Buffered(_) => {
-                        line.answer();
+                        connection.end_request();
                         clients.look_for_room();
                     }
-                    ResponseBody::Streamed(streamed) => streamed.set_connection(line),
+                    ResponseBody::Streamed(streamed) => streamed.set_connection(connection),
                 }
                 Ok::<_, Infallible>(response)
             })
@@ -255,10 +255,10 @@
             .timer(TokioTimer::new())
             .header_read_timeout(None)
             .max_buf_size(HEAD_CAP)
-            .serve_connection(TokioIo::new(LineIo(Rc::clone(line))), service);
+            .serve_connection(TokioIo::new(ClientIo(Rc::clone(connection))), service);
         let mut stages = self.lifecycle.follow();
         let mut leaves_at = self.lifecycle.closes_at();
-        let mut look = pin!(sleep_until(line.late().unwrap_or_else(Instant::now)));
+        let mut look = pin!(sleep_until(connection.deadline().unwrap_or_else(Instant::now)));
         let mut looked_again = false;
         let ended = loop {
             tokio::select! {
@@ -272,25 +272,25 @@
                 }
                 () = sleep_until(leaves_at.unwrap_or_else(Instant::now)), if leaves_at.is_some() => {
                     // One with a request on it ends with the answer.
-                    if line.is_idle() {
+                    if connection.is_idle() {
                         return;
                     }
                     leaves_at = Some(Instant::now() + LOOK_AGAIN);
                 }
                 () = look.as_mut() => {
-                    let late = line.late();
+                    let late = connection.deadline();
                     let is_late = late.is_some_and(|late| late <= Instant::now());
                     // What has come and was not read yet may be a request: it is read within that time, or
                     // never.
-                    if is_late && (looked_again || !line.has_unread()) {
+                    if is_late && (looked_again || !connection.has_unread()) {
                         return;
                     }
                     looked_again = is_late;
                     let soon = Instant::now() + if is_late { LOOK_AGAIN } else { REQUEST_TIME / 4 };
                     look.as_mut().reset(late.filter(|_| !is_late).unwrap_or(soon));
                 }
-                () = line.told_to_go() => {
-                    if line.is_cheap() {
+                () = connection.eviction_requested() => {
+                    if connection.is_evictable() {
                         return;
                     }
                     self.look_for_room();
@@ -301,28 +301,33 @@
         drop(conn);
         if ended.is_err_and(|error| error.is_user()) {
             // An answer broke off: one whose length the client does not know would look whole at a plain end.
-            line.socket().break_off();
+            connection.socket().break_off();
         } else {
-            linger(line.socket()).await;
+            linger(connection.socket()).await;
         }
     }
 
     /// Answers the request of that number on a connection.
-    async fn respond(&self, request: Request<Incoming>, line: &Line, number: u64) -> Response<ResponseBody> {
+    async fn respond(
+        &self,
+        request: Request<Incoming>,
+        connection: &ClientConnection,
+        number: u64,
+    ) -> Response<ResponseBody> {
         let now = Instant::now();
-        let late = if number == 1 { line.connected() + REQUEST_TIME } else { now + REQUEST_TIME };
+        let late = if number == 1 { connection.connected() + REQUEST_TIME } else { now + REQUEST_TIME };
         let deadline = BodyDeadline { grace_ends: late.max(now + BODY_LEAST) };
         let mut response = if self.is_check(&request) {
             self.up().map(ResponseBody::Buffered)
         } else {
             // Rule 2: whoever reads the other end of the body takes a part of it for a request.
-            let inbound = if line.is_ambiguous(number) {
+            let inbound = if connection.is_ambiguous(number) {
                 Err(Rejected::new(StatusCode::BAD_REQUEST, "the body may end in two places\n"))
             } else {
                 self.inbound(request, deadline).await
             };
             let answered = match inbound {
-                Ok(inbound) => self.ask(inbound, line).await,
+                Ok(inbound) => self.ask(inbound, connection).await,
                 Err(rejected) => Err(rejected),
             };
             answered.unwrap_or_else(|rejected| {
@@ -354,9 +359,13 @@
         }
     }
 
-    async fn ask(&self, inbound: Inbound, line: &Line) -> Result<Response<ResponseBody>, Rejected> {
+    async fn ask(
+        &self,
+        inbound: Inbound,
+        connection: &ClientConnection,
+    ) -> Result<Response<ResponseBody>, Rejected> {
         // It may have left before its connection was accepted, say.
-        if line.is_left() {
+        if connection.is_closed_by_client() {
             return Err(LEFT);
         }
         // Rule 2: passed on, a second request of the same id would be a second copy of the first.
@@ -370,8 +379,8 @@
         self.handle.tell(Message::Request(Box::new(inbound), sender));
         let left = async {
             match rest {
-                None => line.left(&self.budget.bodies).await,
-                Some(_) => line.socket().ended().await,
+                None => connection.closed_by_client(&self.budget.bodies).await,
+                Some(_) => connection.socket().ended().await,
             }
         };
         // The library sees that a client has left only where it has read all that came ahead of it.
--- a/src/proxy/connections/tests.rs
+++ b/src/proxy/connections/tests.rs
@@ -4,55 +4,55 @@
 const HEAD: &[u8] = b"GET /up HTTP/1.1\r\n\r\n";
 
 /// Connections whose clients send nothing by themselves.
-async fn lines<const N: usize>() -> (Lines, [Rc<Line>; N]) {
+async fn connections<const N: usize>() -> (ClientConnections, [Rc<ClientConnection>; N]) {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
-    let mut lines = Lines::default();
+    let mut connections = ClientConnections::default();
     let mut all = Vec::new();
     for _ in 0..N {
         let stream = TcpStream::connect(address).await.expect("a connection");
-        all.push(Rc::new(Line::new(stream, 1_000)));
+        all.push(Rc::new(ClientConnection::new(stream, 1_000)));
     }
     let all: [_; N] = all.try_into().unwrap_or_else(|_| unreachable!("as many as asked for"));
-    all.iter().for_each(|line| {
-        lines.add(line);
+    all.iter().for_each(|connection| {
+        connections.add(connection);
     });
-    (lines, all)
+    (connections, all)
 }
 
-fn going<const N: usize>(all: &[Rc<Line>; N]) -> Vec<usize> {
-    (0..N).filter(|&i| all[i].going.get()).collect()
+fn evicting<const N: usize>(all: &[Rc<ClientConnection>; N]) -> Vec<usize> {
+    (0..N).filter(|&i| all[i].evicting.get()).collect()
 }
 
 #[tokio::test(start_paused = true)]
 async fn the_cheapest_to_lose_goes_first_and_one_with_a_request_never() {
-    let (lines, all) = lines::<9>().await;
+    let (connections, all) = connections::<9>().await;
     let step = || tokio::time::advance(Duration::from_millis(10));
-    let [asking, begun, begun_later, kept, silent, _pipelined, stuck, fresh, coming] = &all;
-    stuck.stuck.set(true);
-    asking.read(HEAD);
-    let _ = asking.ask();
-    all[5].read(&HEAD.repeat(2));
-    let _ = all[5].ask();
-    all[5].answer();
-    kept.read(HEAD);
-    let _ = kept.ask();
-    kept.answer();
-    begun.read(&HEAD[..5]);
+    let [asking, begun, begun_later, kept, unused, _pipelined, write_blocked, fresh, coming] = &all;
+    write_blocked.write_blocked.set(true);
+    asking.record_read(HEAD);
+    let _ = asking.begin_request();
+    all[5].record_read(&HEAD.repeat(2));
+    let _ = all[5].begin_request();
+    all[5].end_request();
+    kept.record_read(HEAD);
+    let _ = kept.begin_request();
+    kept.end_request();
+    begun.record_read(&HEAD[..5]);
     step().await;
-    begun_later.read(&HEAD[..5]);
-    tokio::time::advance(FRESH).await;
-    fresh.moved.set(Instant::now());
-    coming.read(&HEAD[..5]);
-    assert!(silent.is_idle() && kept.is_idle() && !begun.is_idle() && begun.is_cheap());
+    begun_later.record_read(&HEAD[..5]);
+    tokio::time::advance(ACTIVE_WINDOW).await;
+    fresh.last_activity.set(Instant::now());
+    coming.record_read(&HEAD[..5]);
+    assert!(unused.is_idle() && kept.is_idle() && !begun.is_idle() && begun.is_evictable());
     for most in 1..=4 {
-        lines.make_room();
+        connections.evict_one();
         let mut order = [4, 3, 1, 2][..most].to_vec();
         order.sort_unstable();
-        assert_eq!(going(&all), order);
+        assert_eq!(evicting(&all), order);
     }
-    (0..3).for_each(|_| lines.make_room());
-    assert_eq!(going(&all), [1, 2, 3, 4, 7, 8], "those that may go on come last");
+    (0..3).for_each(|_| connections.evict_one());
+    assert_eq!(evicting(&all), [1, 2, 3, 4, 7, 8], "those that may go on come last");
 }
 
 #[tokio::test]
@@ -60,41 +60,44 @@
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let stream = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("a connection");
     let (mut client, _) = listener.accept().await.expect("a connection");
-    let line = Rc::new(Line::new(stream, 1_000));
-    let mut lines = Lines::default();
-    lines.add(&line);
-    assert!(line.is_idle() && line.is_cheap());
+    let connection = Rc::new(ClientConnection::new(stream, 1_000));
+    let mut connections = ClientConnections::default();
+    connections.add(&connection);
+    assert!(connection.is_idle() && connection.is_evictable());
     client.write_all(HEAD).await.expect("it is open");
-    assert!(!line.is_idle() && !line.is_cheap());
-    lines.make_room();
-    assert!(!line.going.get(), "the request would be lost");
+    assert!(!connection.is_idle() && !connection.is_evictable());
+    connections.evict_one();
+    assert!(!connection.evicting.get(), "the request would be lost");
     let mut request = [0; HEAD.len()];
-    assert_eq!(line.socket().read(&mut request).await, Some(HEAD.len()));
+    assert_eq!(connection.socket().read(&mut request).await, Some(HEAD.len()));
     drop(client);
-    line.socket().ended().await;
-    assert!(line.is_idle() && line.is_left());
-    lines.make_room();
-    assert!(line.going.get());
+    connection.socket().ended().await;
+    assert!(connection.is_idle() && connection.is_closed_by_client());
+    connections.evict_one();
+    assert!(connection.evicting.get());
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_client_has_its_time_for_a_head_and_for_staying_idle() {
-    let (_, [line]) = lines::<1>().await;
+    let (_, [connection]) = connections::<1>().await;
     let start = Instant::now();
-    assert_eq!(line.late(), Some(start + REQUEST_TIME), "it says nothing");
+    assert_eq!(connection.deadline(), Some(start + REQUEST_TIME), "it says nothing");
     tokio::time::advance(Duration::from_secs(1)).await;
-    line.read(&HEAD[..5]);
-    assert_eq!(line.late(), Some(start + HEAD_TIME), "the first head counts from connecting");
-    line.read(&HEAD[5..]);
-    let _ = line.ask();
-    assert_eq!(line.late(), None, "it is the proxy's turn");
-    line.answer();
+    connection.record_read(&HEAD[..5]);
+    assert_eq!(connection.deadline(), Some(start + HEAD_TIME), "the first head counts from connecting");
+    connection.record_read(&HEAD[5..]);
+    let _ = connection.begin_request();
+    assert_eq!(connection.deadline(), None, "it is the proxy's turn");
+    connection.end_request();
     tokio::time::advance(Duration::from_secs(2)).await;
-    line.read(&HEAD[..5]);
+    connection.record_read(&HEAD[..5]);
     let begun = Instant::now();
     tokio::time::advance(Duration::from_secs(1)).await;
-    line.read(&HEAD[5..9]);
-    assert_eq!(line.late(), Some(begun + HEAD_TIME), "a later one counts from its first byte");
-    line.stuck.set(true);
-    assert!(line.late() > Some(begun + HEAD_TIME), "an answer is not cut off while its client reads");
+    connection.record_read(&HEAD[5..9]);
+    assert_eq!(connection.deadline(), Some(begun + HEAD_TIME), "a later one counts from its first byte");
+    connection.write_blocked.set(true);
+    assert!(
+        connection.deadline() > Some(begun + HEAD_TIME),
+        "an answer is not cut off while its client reads"
+    );
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -1,21 +1,21 @@
 //! The proxy on real sockets. It carries out what the [`Balancer`](crate::balancer::Balancer) decides and
 //! reports what came of it; it never picks a backend, retries, holds or refuses by itself.
 
-pub mod ahead;
 pub mod backends;
 pub mod bodies;
 pub mod budget;
 pub mod clients;
 pub mod clock;
 pub mod config;
+pub mod connections;
 pub mod counters;
 pub mod discovery;
 pub mod driver;
 pub mod framing;
 pub mod inherited;
 pub mod lifecycle;
-pub mod lines;
 pub mod operator;
+pub mod read_ahead;
 pub mod socket;
 
 use std::cell::Cell;
--- a/src/proxy/read_ahead.rs
+++ b/src/proxy/read_ahead.rs
@@ -54,7 +54,7 @@
     }
 
     /// Moves as many bytes to `buffer` as it has room for. What is not held any more is given back.
-    pub fn hand_over(&mut self, buffer: &mut ReadBuf<'_>) {
+    pub fn move_into(&mut self, buffer: &mut ReadBuf<'_>) {
         let taken = self.bytes.len().min(buffer.remaining());
         buffer.put_slice(&self.bytes[..taken]);
         self.bytes.advance(taken);
@@ -65,7 +65,7 @@
     }
 
     /// Remembers the HTTP side, which has found nothing to read: bytes may go past it from now on.
-    pub fn wake_later(&mut self, reader: &Waker) {
+    pub fn register_reader(&mut self, reader: &Waker) {
         self.reader = Some(reader.clone());
     }
 }
--- a/src/proxy/read_ahead/tests.rs
+++ b/src/proxy/read_ahead/tests.rs
@@ -37,7 +37,7 @@
     while !ahead.is_empty() {
         let mut piece = [0; 10_000];
         let mut buffer = ReadBuf::new(&mut piece);
-        ahead.hand_over(&mut buffer);
+        ahead.move_into(&mut buffer);
         got.extend_from_slice(buffer.filled());
     }
     let expected: Vec<u8> = (0..held).map(|at| (at / READ_PIECE) as u8).collect();
@@ -55,7 +55,7 @@
 fn a_reader_that_found_nothing_is_woken_by_what_is_added() {
     let mut ahead = ReadAhead::default();
     let woken = Arc::new(Woken(AtomicBool::new(false)));
-    ahead.wake_later(&Arc::clone(&woken).into());
+    ahead.register_reader(&Arc::clone(&woken).into());
     assert!(!woken.0.load(Ordering::Relaxed));
     ahead.add(b"bytes");
     assert!(woken.0.load(Ordering::Relaxed));
