--- a/src/bin/tillerproxy.rs
+++ b/src/bin/tillerproxy.rs
@@ -15,7 +15,7 @@
 use tillerproxy::proxy::discovery::{Asked, Translator, Watcher};
 use tillerproxy::proxy::driver::{Driver, Limits};
 use tillerproxy::proxy::inherited;
-use tillerproxy::proxy::lifecycle::{End, Lifecycle};
+use tillerproxy::proxy::lifecycle::{Lifecycle, ShutdownTimes};
 use tillerproxy::proxy::log;
 use tillerproxy::proxy::operator::Operator;
 use tokio::net::{TcpListener, TcpSocket};
@@ -28,13 +28,13 @@
 const BACKLOG: u32 = 1_024;
 /// After SIGTERM, connections still come for a while: how long the proxy goes on at the least, and how long
 /// nobody must have connected.
-const DRAIN_LEAST: Duration = Duration::from_millis(800);
-const DRAIN_QUIET: Duration = Duration::from_millis(300);
-const DRAIN_STEP: Duration = Duration::from_millis(50);
+const DRAIN_MIN_TIME: Duration = Duration::from_millis(800);
+const DRAIN_QUIET_TIME: Duration = Duration::from_millis(300);
+const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// What the proxy takes beyond the longest deadline before it ends with clients still connected.
 const DRAIN_SLACK: Duration = Duration::from_millis(500);
 /// The platform may kill it 0.7 s after the longest deadline, of which it counts so much at the most.
-const DEADLINE_COUNTED: Duration = Duration::from_secs(3);
+const MAX_DRAIN_DEADLINE: Duration = Duration::from_secs(3);
 
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
@@ -150,15 +150,19 @@
 ) {
     let began = Instant::now();
     let end = began + longest + DRAIN_SLACK;
-    lifecycle.stop(End { answers_by: began + longest.min(DEADLINE_COUNTED) + DRAIN_SLACK, ends_at: end });
+    lifecycle.stop(ShutdownTimes {
+        answers_by: began + longest.min(MAX_DRAIN_DEADLINE) + DRAIN_SLACK,
+        ends_at: end,
+    });
     while listener.is_some()
-        && (began.elapsed() < DRAIN_LEAST || (clients.quiet() < DRAIN_QUIET && began.elapsed() < longest))
+        && (began.elapsed() < DRAIN_MIN_TIME
+            || (clients.since_last_accept() < DRAIN_QUIET_TIME && began.elapsed() < longest))
     {
-        sleep(DRAIN_STEP).await;
+        sleep(DRAIN_POLL_INTERVAL).await;
     }
     loop {
         while clients.open() > 0 {
-            if timeout_at(end, clients.one_ended()).await.is_err() {
+            if timeout_at(end, clients.connection_ended()).await.is_err() {
                 return;
             }
         }
--- a/src/proxy/backends/connection.rs
+++ b/src/proxy/backends/connection.rs
@@ -64,7 +64,7 @@
         self.written.set(self.written.get() + bytes);
         if self.whole_at.get().is_some_and(|whole| self.written.get() >= whole) {
             self.whole_at.set(None);
-            self.counters.tried();
+            self.counters.record_attempt();
         }
     }
 }
--- a/src/proxy/bodies/streamed.rs
+++ b/src/proxy/bodies/streamed.rs
@@ -1,7 +1,7 @@
 //! An answer that is streamed from its backend to its client.
 
 use crate::proxy::connections::ClientConnection;
-use crate::proxy::counters::{End, Ticket};
+use crate::proxy::counters::{RequestOutcome, RequestTicket};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::fmt;
@@ -52,7 +52,7 @@
     /// Its bytes that are still to come, where the backend told their number.
     left: Option<u64>,
     /// Counted as passed with its last byte.
-    ticket: Option<Ticket>,
+    ticket: Option<RequestTicket>,
     /// The connection that it goes out on, which has its answer when this is dropped.
     connection: Option<Rc<ClientConnection>>,
 }
@@ -78,7 +78,7 @@
     }
 
     /// The request that it answers, counted when it ends.
-    pub fn set_ticket(&mut self, ticket: Ticket) {
+    pub fn set_ticket(&mut self, ticket: RequestTicket) {
         self.ticket = Some(ticket);
     }
 
@@ -87,8 +87,8 @@
         self.connection = Some(connection);
     }
 
-    fn note(&self, end: End) {
-        self.ticket.iter().for_each(|ticket| ticket.note(end));
+    fn set_outcome(&self, outcome: RequestOutcome) {
+        self.ticket.iter().for_each(|ticket| ticket.set_outcome(outcome));
     }
 }
 
@@ -104,16 +104,16 @@
             Some(Piece::Data(data)) => {
                 self.left = self.left.map(|left| left.saturating_sub(data.len() as u64));
                 if self.left == Some(0) {
-                    self.note(End::Passed);
+                    self.set_outcome(RequestOutcome::Passed);
                 }
                 Poll::Ready(Some(Ok(Frame::data(data))))
             }
             Some(Piece::End) if self.left.is_none_or(|left| left == 0) => {
-                self.note(End::Passed);
+                self.set_outcome(RequestOutcome::Passed);
                 Poll::Ready(None)
             }
             Some(Piece::End) | None => {
-                self.note(End::BadGateway);
+                self.set_outcome(RequestOutcome::BadGateway);
                 Poll::Ready(Some(Err(io::ErrorKind::UnexpectedEof.into())))
             }
         }
--- a/src/proxy/bodies/upload.rs
+++ b/src/proxy/bodies/upload.rs
@@ -145,7 +145,7 @@
                 Poll::Ready(Some(Err(_))) => return self.broke(io::ErrorKind::UnexpectedEof),
                 Poll::Ready(None) => {
                     if self.progress.length.is_none() && self.progress.finished_at.get().is_none() {
-                        self.counters.tried();
+                        self.counters.record_attempt();
                     }
                     self.progress.finish();
                     return Poll::Ready(None);
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -8,7 +8,7 @@
 use super::clock::Clock;
 use super::config::Names;
 use super::connections::{ClientConnection, ClientConnections, ClientIo};
-use super::counters::{Counters, End};
+use super::counters::{Counters, RequestOutcome};
 use super::driver::{Answer, Handle, Inbound, Message};
 use super::lifecycle::Lifecycle;
 use super::socket::Socket;
@@ -38,21 +38,21 @@
 /// connecting. It is also how long a client may stay idle.
 pub(super) const REQUEST_TIME: Duration = Duration::from_millis(2_500);
 /// A body has this long at the least, however late its head came, and longer the more of it has come.
-const BODY_LEAST: Duration = Duration::from_millis(300);
+const MIN_BODY_TIME: Duration = Duration::from_millis(300);
 /// How long a closing connection is read on after its last byte, and in all, so that the kernel does not
 /// answer late bytes with a reset that destroys an answer on its way.
 const LINGER: Duration = Duration::from_millis(500);
-const LINGER_MOST: Duration = Duration::from_secs(2);
+const LINGER_TOTAL: Duration = Duration::from_secs(2);
 const LINGER_BUFFER: usize = 8 * 1024;
 /// Of a request's body beyond the usual size, this much is held whole where the memory for it is left.
-const HOLD_CAP: usize = 2 << 20;
+const BUFFER_CAP: usize = 2 << 20;
 /// A connection that is to go and has a request on it is looked at again after this time.
-const LOOK_AGAIN: Duration = Duration::from_millis(50);
+const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// The largest head of a request.
 pub(super) const HEAD_CAP: usize = 16 * 1024;
 /// A time left beyond this makes no sense.
-const MOST_TIME_LEFT_MS: u64 = 3_600_000;
+const MAX_TIME_LEFT_MS: u64 = 3_600_000;
 
 const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
 const SERVICE_CLASS: HeaderName = HeaderName::from_static("x-service-class");
@@ -60,13 +60,13 @@
 const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 /// The headers that decide what a request is.
-const ONCE: [HeaderName; 5] = [CORRELATION_ID, SERVICE_CLASS, ACCOUNT, TIME_LEFT, IDEMPOTENCY_KEY];
+const SINGLE_HEADERS: [HeaderName; 5] = [CORRELATION_ID, SERVICE_CLASS, ACCOUNT, TIME_LEFT, IDEMPOTENCY_KEY];
 const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
 const WEIGHT_HINT: HeaderName = HeaderName::from_static("x-weight-hint");
 
 struct Class {
     deadline: Micros,
-    keyed: bool,
+    needs_key: bool,
     method: Method,
 }
 
@@ -82,7 +82,7 @@
     open: Cell<usize>,
     freed: Notify,
     /// Somebody waits to be accepted, and looks again when a connection has ended or become idle.
-    wants_room: Cell<bool>,
+    is_full: Cell<bool>,
     connections: RefCell<ClientConnections>,
     accepted_at: Cell<Instant>,
     /// The ids of the requests that have no answer yet.
@@ -90,13 +90,13 @@
 }
 
 /// A request that is answered here because the module can't be asked about it.
-pub(super) struct Rejected {
+pub(super) struct Rejection {
     status: StatusCode,
     why: &'static str,
     allow: Option<&'static str>,
 }
 
-impl Rejected {
+impl Rejection {
     pub(super) const fn new(status: StatusCode, why: &'static str) -> Self {
         Self { status, why, allow: None }
     }
@@ -119,8 +119,8 @@
 }
 
 /// Nobody reads it.
-const LEFT: Rejected = Rejected::new(StatusCode::BAD_REQUEST, "the client has left\n");
-const TOO_LARGE: Rejected = Rejected::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
+const CLIENT_GONE: Rejection = Rejection::new(StatusCode::BAD_REQUEST, "the client has left\n");
+const TOO_LARGE: Rejection = Rejection::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
 
 impl Clients {
     /// No connections yet.
@@ -136,7 +136,7 @@
     ) -> Rc<Self> {
         let class = |c: &crate::api::Class| Class {
             deadline: c.deadline,
-            keyed: matches!(c.effect, Effect::Keyed { .. }),
+            needs_key: matches!(c.effect, Effect::Keyed { .. }),
             method: if c.effect == Effect::Safe { Method::GET } else { Method::POST },
         };
         let classes = names.classes.iter().zip(0..=u8::MAX).zip(&settings.classes);
@@ -150,7 +150,7 @@
             budget,
             open: Cell::new(0),
             freed: Notify::new(),
-            wants_room: Cell::new(false),
+            is_full: Cell::new(false),
             connections: RefCell::default(),
             accepted_at: Cell::new(Instant::now()),
             ids: RefCell::default(),
@@ -165,12 +165,12 @@
 
     /// Time since a client last connected.
     #[must_use]
-    pub fn quiet(&self) -> Duration {
+    pub fn since_last_accept(&self) -> Duration {
         self.accepted_at.get().elapsed()
     }
 
     /// Waits until a client connection has ended.
-    pub async fn one_ended(&self) {
+    pub async fn connection_ended(&self) {
         self.freed.notified().await;
     }
 
@@ -181,10 +181,10 @@
             // Connections that are held without a request would keep them there: the cheapest to lose goes.
             while self.open.get() >= self.budget.clients {
                 self.connections.borrow().evict_one();
-                self.wants_room.set(true);
+                self.is_full.set(true);
                 self.freed.notified().await;
             }
-            self.wants_room.set(false);
+            self.is_full.set(false);
             match listener.accept().await {
                 Ok((stream, _)) => self.take(stream),
                 // Out of descriptors, or a client that is gone already: neither ends the proxy.
@@ -217,8 +217,8 @@
     }
 
     /// Some connection may be cheaper to lose than before.
-    fn look_for_room(&self) {
-        if self.wants_room.get() {
+    fn notify_if_full(&self) {
+        if self.is_full.get() {
             self.freed.notify_waiters();
         }
     }
@@ -244,61 +244,61 @@
                 match response.body_mut() {
                     ResponseBody::Buffered(_) => {
                         connection.end_request();
-                        clients.look_for_room();
+                        clients.notify_if_full();
                     }
                     ResponseBody::Streamed(streamed) => streamed.set_connection(connection),
                 }
                 Ok::<_, Infallible>(response)
             })
         });
-        let mut conn = http1::Builder::new()
+        let mut http = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(None)
             .max_buf_size(HEAD_CAP)
             .serve_connection(TokioIo::new(ClientIo(Rc::clone(connection))), service);
-        let mut stages = self.lifecycle.follow();
-        let mut leaves_at = self.lifecycle.closes_at();
-        let mut look = pin!(sleep_until(connection.deadline().unwrap_or_else(Instant::now)));
-        let mut looked_again = false;
+        let mut stages = self.lifecycle.subscribe();
+        let mut close_at = self.lifecycle.closes_at();
+        let mut recheck = pin!(sleep_until(connection.deadline().unwrap_or_else(Instant::now)));
+        let mut rechecked = false;
         let ended = loop {
             tokio::select! {
                 biased;
                 // How it ended matters only to the client: one that left has been reported by its guard.
-                ended = std::future::poll_fn(|cx| conn.poll_without_shutdown(cx)) => break ended,
+                ended = std::future::poll_fn(|cx| http.poll_without_shutdown(cx)) => break ended,
                 Ok(()) = stages.changed() => {
                     stages.mark_unchanged();
                     let closes_at = self.lifecycle.closes_at();
-                    leaves_at = closes_at.map(|at| leaves_at.map_or(at, |sooner| sooner.min(at)));
+                    close_at = closes_at.map(|at| close_at.map_or(at, |sooner| sooner.min(at)));
                 }
-                () = sleep_until(leaves_at.unwrap_or_else(Instant::now)), if leaves_at.is_some() => {
+                () = sleep_until(close_at.unwrap_or_else(Instant::now)), if close_at.is_some() => {
                     // One with a request on it ends with the answer.
                     if connection.is_idle() {
                         return;
                     }
-                    leaves_at = Some(Instant::now() + LOOK_AGAIN);
+                    close_at = Some(Instant::now() + RECHECK_INTERVAL);
                 }
-                () = look.as_mut() => {
+                () = recheck.as_mut() => {
                     let late = connection.deadline();
                     let is_late = late.is_some_and(|late| late <= Instant::now());
                     // What has come and was not read yet may be a request: it is read within that time, or
                     // never.
-                    if is_late && (looked_again || !connection.has_unread()) {
+                    if is_late && (rechecked || !connection.has_unread()) {
                         return;
                     }
-                    looked_again = is_late;
-                    let soon = Instant::now() + if is_late { LOOK_AGAIN } else { REQUEST_TIME / 4 };
-                    look.as_mut().reset(late.filter(|_| !is_late).unwrap_or(soon));
+                    rechecked = is_late;
+                    let soon = Instant::now() + if is_late { RECHECK_INTERVAL } else { REQUEST_TIME / 4 };
+                    recheck.as_mut().reset(late.filter(|_| !is_late).unwrap_or(soon));
                 }
                 () = connection.eviction_requested() => {
                     if connection.is_evictable() {
                         return;
                     }
-                    self.look_for_room();
+                    self.notify_if_full();
                 }
             }
         };
         // What the library holds of it, an unanswered request too, ends here.
-        drop(conn);
+        drop(http);
         if ended.is_err_and(|error| error.is_user()) {
             // An answer broke off: one whose length the client does not know would look whole at a plain end.
             connection.socket().break_off();
@@ -316,13 +316,13 @@
     ) -> Response<ResponseBody> {
         let now = Instant::now();
         let late = if number == 1 { connection.connected() + REQUEST_TIME } else { now + REQUEST_TIME };
-        let deadline = BodyDeadline { grace_ends: late.max(now + BODY_LEAST) };
-        let mut response = if self.is_check(&request) {
-            self.up().map(ResponseBody::Buffered)
+        let deadline = BodyDeadline { grace_ends: late.max(now + MIN_BODY_TIME) };
+        let mut response = if self.is_health_check(&request) {
+            self.health().map(ResponseBody::Buffered)
         } else {
             // Rule 2: whoever reads the other end of the body takes a part of it for a request.
             let inbound = if connection.is_ambiguous(number) {
-                Err(Rejected::new(StatusCode::BAD_REQUEST, "the body may end in two places\n"))
+                Err(Rejection::new(StatusCode::BAD_REQUEST, "the body may end in two places\n"))
             } else {
                 self.inbound(request, deadline).await
             };
@@ -345,13 +345,13 @@
 
     /// Whether the front asks if this proxy serves. A class may have the name of that call; its requests name
     /// it.
-    fn is_check(&self, request: &Request<Incoming>) -> bool {
+    fn is_health_check(&self, request: &Request<Incoming>) -> bool {
         let asks_a_class =
             || self.classes.contains_key("up") && request.headers().contains_key(SERVICE_CLASS);
         request.uri().path() == "/up" && !asks_a_class()
     }
 
-    fn up(&self) -> Response<BufferedBody> {
+    fn health(&self) -> Response<BufferedBody> {
         if self.lifecycle.is_up() {
             plain(StatusCode::OK, "up\n")
         } else {
@@ -363,19 +363,19 @@
         &self,
         inbound: Inbound,
         connection: &ClientConnection,
-    ) -> Result<Response<ResponseBody>, Rejected> {
+    ) -> Result<Response<ResponseBody>, Rejection> {
         // It may have left before its connection was accepted, say.
         if connection.is_closed_by_client() {
-            return Err(LEFT);
+            return Err(CLIENT_GONE);
         }
         // Rule 2: passed on, a second request of the same id would be a second copy of the first.
         let Some(_id) = OpenId::claim(&self.ids, &inbound.call.headers) else {
-            return Err(Rejected::new(StatusCode::CONFLICT, "a request of this id is open\n"));
+            return Err(Rejection::new(StatusCode::CONFLICT, "a request of this id is open\n"));
         };
         let rest = inbound.call.body.pending_upload();
         let (sender, answer) = oneshot::channel();
-        let ticket = self.counters.take(inbound.request.class);
-        let guard = Guard { handle: &self.handle, request: inbound.request.id, answered: false };
+        let ticket = self.counters.begin_request(inbound.request.class);
+        let guard = ClientGoneGuard { handle: &self.handle, request: inbound.request.id, answered: false };
         self.handle.tell(Message::Request(Box::new(inbound), sender));
         let left = async {
             match rest {
@@ -387,14 +387,14 @@
         let answer = tokio::select! {
             biased;
             answer = answer => answer,
-            () = left => return Err(LEFT),
+            () = left => return Err(CLIENT_GONE),
         };
         guard.answered();
-        let (response, end) = match answer {
+        let (response, outcome) = match answer {
             Ok(Answer::Served(served)) => {
                 let mut body = served.body;
                 match &mut body {
-                    AnswerBody::Buffered(_) => ticket.note(End::Passed),
+                    AnswerBody::Buffered(_) => ticket.set_outcome(RequestOutcome::Passed),
                     AnswerBody::Streamed(streamed) => streamed.set_ticket(ticket),
                 }
                 let mut response = Response::new(ResponseBody::from(body));
@@ -403,10 +403,12 @@
                 }
                 return Ok(response);
             }
-            Ok(Answer::Refused { retry_after }) => (refusal(retry_after), End::Dropped),
-            Ok(Answer::Failed) | Err(_) => (plain(StatusCode::BAD_GATEWAY, "failed\n"), End::BadGateway),
+            Ok(Answer::Refused { retry_after }) => (refusal(retry_after), RequestOutcome::Dropped),
+            Ok(Answer::Failed) | Err(_) => {
+                (plain(StatusCode::BAD_GATEWAY, "failed\n"), RequestOutcome::BadGateway)
+            }
         };
-        ticket.note(end);
+        ticket.set_outcome(outcome);
         // A request is taken with its last byte. Answered before, its client would be cut off.
         if let Some(upload) = rest.and_then(|rest| rest.take()) {
             upload.drain().await;
@@ -415,13 +417,13 @@
     }
 
     /// Reads a request's body, as far as it is to be held.
-    async fn collect(&self, mut body: Incoming, deadline: BodyDeadline) -> Result<CallBody, Rejected> {
-        let is_small = body.size_hint().exact().is_none_or(|length| length <= HOLD_CAP as u64);
+    async fn collect(&self, mut body: Incoming, deadline: BodyDeadline) -> Result<CallBody, Rejection> {
+        let is_small = body.size_hint().exact().is_none_or(|length| length <= BUFFER_CAP as u64);
         let (mut held, mut reserved) = (BodyBuffer::default(), Vec::new());
-        while is_small && held.len() <= HOLD_CAP {
+        while is_small && held.len() <= BUFFER_CAP {
             let data = timeout_at(deadline.after(held.len() as u64), next_data(&mut body)).await;
-            let data = data.map_err(|_| Rejected::new(StatusCode::REQUEST_TIMEOUT, "the body is late\n"))?;
-            match data.map_err(|_| Rejected::new(StatusCode::BAD_REQUEST, "the body is broken\n"))? {
+            let data = data.map_err(|_| Rejection::new(StatusCode::REQUEST_TIMEOUT, "the body is late\n"))?;
+            match data.map_err(|_| Rejection::new(StatusCode::BAD_REQUEST, "the body is broken\n"))? {
                 Some(data) => held.add(data),
                 None => return Ok(CallBody::Buffered(held.take(), reserved)),
             }
@@ -446,9 +448,13 @@
         Upload::new(held.take(), reserved, rest, deadline, Rc::clone(&self.counters)).into()
     }
 
-    async fn inbound(&self, request: Request<Incoming>, deadline: BodyDeadline) -> Result<Inbound, Rejected> {
+    async fn inbound(
+        &self,
+        request: Request<Incoming>,
+        deadline: BodyDeadline,
+    ) -> Result<Inbound, Rejection> {
         let (head, body) = request.into_parts();
-        let bad = |why| Rejected::new(StatusCode::BAD_REQUEST, why);
+        let bad = |why| Rejection::new(StatusCode::BAD_REQUEST, why);
         let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
         // Customers' own names may have letters beyond ASCII.
         let named = |name| head.headers.get(name).and_then(|v| std::str::from_utf8(v.as_bytes()).ok());
@@ -456,7 +462,7 @@
             return Err(TOO_LARGE);
         }
         // Whoever reads the other one of two takes the request for something else.
-        if ONCE.iter().any(|name| head.headers.get_all(name).iter().nth(1).is_some()) {
+        if SINGLE_HEADERS.iter().any(|name| head.headers.get_all(name).iter().nth(1).is_some()) {
             return Err(bad("a header comes twice\n"));
         }
         let in_path = head.uri.path().split('/').nth(1).unwrap_or_default();
@@ -465,10 +471,10 @@
             return Err(bad("the class of the header is not that of the path\n"));
         }
         if head.method != facts.method {
-            return Err(Rejected::method(if facts.method == Method::GET { "GET" } else { "POST" }));
+            return Err(Rejection::method(if facts.method == Method::GET { "GET" } else { "POST" }));
         }
         // Without its key a repeat would not be dropped.
-        if facts.keyed && text(IDEMPOTENCY_KEY).is_none_or(str::is_empty) {
+        if facts.needs_key && text(IDEMPOTENCY_KEY).is_none_or(str::is_empty) {
             return Err(bad("Idempotency-Key is missing\n"));
         }
         if text(CORRELATION_ID).is_none_or(str::is_empty) {
@@ -481,10 +487,10 @@
         // The type's own parser would take a sign.
         let digits = text(TIME_LEFT).filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
         let time_left = digits.and_then(|v| v.parse::<u64>().ok());
-        let time_left = time_left.filter(|&ms| ms <= MOST_TIME_LEFT_MS);
+        let time_left = time_left.filter(|&ms| ms <= MAX_TIME_LEFT_MS);
         let patience = time_left.ok_or(bad("X-Time-Left-Ms is missing or makes no sense\n"))? * 1_000;
         let mut request = crate::api::Request {
-            id: self.handle.number(),
+            id: self.handle.next_request_id(),
             class: *class,
             tenant,
             key: head.uri.query().and_then(key),
@@ -506,19 +512,19 @@
 
 /// Tells the driver when a client leaves while its request is open: its connection then drops the answer's
 /// future.
-struct Guard<'a> {
+struct ClientGoneGuard<'a> {
     handle: &'a Handle,
     request: RequestId,
     answered: bool,
 }
 
-impl Guard<'_> {
+impl ClientGoneGuard<'_> {
     fn answered(mut self) {
         self.answered = true;
     }
 }
 
-impl Drop for Guard<'_> {
+impl Drop for ClientGoneGuard<'_> {
     fn drop(&mut self) {
         if !self.answered {
             self.handle.tell(Message::ClientGone(self.request));
@@ -618,7 +624,7 @@
     if socket.end_sending().is_err() {
         return;
     }
-    let _ = timeout(LINGER_MOST, async {
+    let _ = timeout(LINGER_TOTAL, async {
         let mut buffer = vec![0; LINGER_BUFFER];
         while let Ok(Some(_)) = timeout(LINGER, socket.read(&mut buffer)).await {}
     })
--- a/src/proxy/counters.rs
+++ b/src/proxy/counters.rs
@@ -6,7 +6,7 @@
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
+pub enum RequestOutcome {
     /// Served.
     Passed,
     /// Refused.
@@ -16,12 +16,12 @@
 }
 
 /// The names of the ends, in the order of their counters.
-const ENDS: [&str; 3] = ["passed", "dropped", "bad_gateway"];
+const OUTCOME_LABELS: [&str; 3] = ["passed", "dropped", "bad_gateway"];
 
 /// The counters of one process.
 pub struct Counters {
-    classes: Vec<(String, [Cell<u64>; ENDS.len()])>,
-    tries: Cell<u64>,
+    classes: Vec<(String, [Cell<u64>; OUTCOME_LABELS.len()])>,
+    attempts: Cell<u64>,
     in_progress: Cell<u64>,
 }
 
@@ -34,19 +34,19 @@
     #[must_use]
     pub fn new(classes: &[String]) -> Rc<Self> {
         let classes = classes.iter().map(|name| (name.clone(), Default::default())).collect();
-        Rc::new(Self { classes, tries: Cell::new(0), in_progress: Cell::new(0) })
+        Rc::new(Self { classes, attempts: Cell::new(0), in_progress: Cell::new(0) })
     }
 
     /// A request of the class at this position was taken. It is in progress until the ticket is dropped.
     #[must_use]
-    pub fn take(self: &Rc<Self>, class: u8) -> Ticket {
+    pub fn begin_request(self: &Rc<Self>, class: u8) -> RequestTicket {
         add_one(&self.in_progress);
-        Ticket { counters: Rc::clone(self), class: usize::from(class), end: Cell::new(None) }
+        RequestTicket { counters: Rc::clone(self), class: usize::from(class), outcome: Cell::new(None) }
     }
 
     /// An attempt was written whole to a backend.
-    pub fn tried(&self) {
-        add_one(&self.tries);
+    pub fn record_attempt(&self) {
+        add_one(&self.attempts);
     }
 
     /// All figures. `known` backends are in the list, and `skipped` of them are avoided.
@@ -60,14 +60,14 @@
         let mut all = begin("handled", "counter", "Requests that have ended, by class and outcome.");
         for (class, counts) in &self.classes {
             let class = escaped(class);
-            for (end, count) in ENDS.iter().zip(counts) {
+            for (outcome, count) in OUTCOME_LABELS.iter().zip(counts) {
                 let count = count.get();
-                let _ = writeln!(all, "app_handled{{category=\"{class}\",outcome=\"{end}\"}} {count}");
+                let _ = writeln!(all, "app_handled{{category=\"{class}\",outcome=\"{outcome}\"}} {count}");
             }
         }
         let gauge = |n: usize| n as u64;
         let single = [
-            ("upstream_tries", "counter", "Attempts written whole to backends.", self.tries.get()),
+            ("upstream_tries", "counter", "Attempts written whole to backends.", self.attempts.get()),
             ("in_progress", "gauge", "Requests taken and not ended.", self.in_progress.get()),
             ("known_backends", "gauge", "Backends in the list.", gauge(known)),
             ("skipped_backends", "gauge", "Listed backends that are avoided now.", gauge(skipped)),
@@ -86,25 +86,27 @@
 }
 
 /// A request that was taken. Dropped, it has ended: as was noted, or for a client that had left.
-pub struct Ticket {
+pub struct RequestTicket {
     counters: Rc<Counters>,
     class: usize,
-    end: Cell<Option<End>>,
+    outcome: Cell<Option<RequestOutcome>>,
 }
 
-impl Ticket {
+impl RequestTicket {
     /// Notes how the request ends; the last word counts.
-    pub fn note(&self, end: End) {
-        self.end.set(Some(end));
+    pub fn set_outcome(&self, outcome: RequestOutcome) {
+        self.outcome.set(Some(outcome));
     }
 }
 
-impl Drop for Ticket {
+impl Drop for RequestTicket {
     fn drop(&mut self) {
         let in_progress = &self.counters.in_progress;
         in_progress.set(in_progress.get().saturating_sub(1));
-        if let (Some(end), Some((_, counts))) = (self.end.get(), self.counters.classes.get(self.class)) {
-            add_one(&counts[end as usize]);
+        if let (Some(outcome), Some((_, counts))) =
+            (self.outcome.get(), self.counters.classes.get(self.class))
+        {
+            add_one(&counts[outcome as usize]);
         }
     }
 }
--- a/src/proxy/counters/tests.rs
+++ b/src/proxy/counters/tests.rs
@@ -39,12 +39,12 @@
         let of = |i: usize| all[i].rsplit_once(' ').expect("a value").1.to_owned();
         [of(0), of(1), of(2), of(4)].map(|n| n.parse::<u64>().expect("a number"))
     };
-    let tickets: Vec<_> = (0..4).map(|_| counters.take(0)).collect();
+    let tickets: Vec<_> = (0..4).map(|_| counters.begin_request(0)).collect();
     assert_eq!(figures(), [0, 0, 0, 4]);
-    tickets[0].note(End::Passed);
-    tickets[0].note(End::BadGateway);
-    tickets[1].note(End::Dropped);
-    tickets[2].note(End::Passed);
+    tickets[0].set_outcome(RequestOutcome::Passed);
+    tickets[0].set_outcome(RequestOutcome::BadGateway);
+    tickets[1].set_outcome(RequestOutcome::Dropped);
+    tickets[2].set_outcome(RequestOutcome::Passed);
     assert_eq!(figures(), [0, 0, 0, 4]);
     drop(tickets);
     assert_eq!(figures(), [1, 1, 1, 0], "the client of the fourth had left");
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -22,7 +22,7 @@
 /// written and to travel.
 pub const ANSWER_MARGIN: Micros = 20_000;
 /// A process that ends has answered everything this much before.
-const ENDS_AFTER: Micros = 100_000;
+const SHUTDOWN_MARGIN: Micros = 100_000;
 /// A request that the module has left open is failed this much before the client's time ends.
 const LAST_MARGIN: Micros = 10_000;
 
@@ -100,7 +100,7 @@
 
     /// A number for a new request.
     #[must_use]
-    pub fn number(&self) -> RequestId {
+    pub fn next_request_id(&self) -> RequestId {
         let id = self.next_id.get();
         self.next_id.set(id.wrapping_add(1));
         id
@@ -114,7 +114,7 @@
     cancel: Option<oneshot::Sender<()>>,
 }
 
-struct Open {
+struct OpenRequest {
     call: Rc<Call>,
     /// `None` once the client has its final answer or has left.
     client: Option<oneshot::Sender<Answer>>,
@@ -123,16 +123,16 @@
     attempts: Vec<Attempt>,
 }
 
-impl Open {
-    fn is_over(&self) -> bool {
+impl OpenRequest {
+    fn is_finished(&self) -> bool {
         self.client.is_none() && self.attempts.iter().all(|a| a.cancel.is_none())
     }
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
+enum Timer {
     /// A timer of the module.
-    Module(u32),
+    Balancer(u32),
     /// The last moment for a request's answer.
     LastMoment(RequestId),
 }
@@ -155,8 +155,8 @@
     subscribe: mpsc::UnboundedSender<()>,
     max_attempts: usize,
     report_by_probe: bool,
-    open: FxHashMap<RequestId, Open>,
-    timers: BinaryHeap<Reverse<(Micros, Due)>>,
+    open: FxHashMap<RequestId, OpenRequest>,
+    timers: BinaryHeap<Reverse<(Micros, Timer)>>,
     pending: VecDeque<Pending>,
     actions: Vec<Action>,
 }
@@ -211,20 +211,20 @@
                     biased;
                     message = self.messages.recv() => message,
                     () = sleep_until(due) => {
-                        self.ring();
+                        self.fire_timers();
                         continue;
                     }
                 },
             };
             let Some(message) = message else { return };
-            self.take(message);
+            self.on_message(message);
             // Under a steady stream of messages the timers still have their turn.
-            self.ring();
+            self.fire_timers();
         }
     }
 
     /// Hands on the timers that are due.
-    fn ring(&mut self) {
+    fn fire_timers(&mut self) {
         let now = self.clock.now();
         while let Some(&Reverse((due, what))) = self.timers.peek() {
             if due > now {
@@ -232,34 +232,34 @@
             }
             self.timers.pop();
             match what {
-                Due::Module(token) => self.feed(now, Event::Timer(token)),
-                Due::LastMoment(request) => self.last_moment(now, request),
+                Timer::Balancer(token) => self.handle_event(now, Event::Timer(token)),
+                Timer::LastMoment(request) => self.on_last_moment(now, request),
             }
         }
     }
 
     /// Rule 1: whatever the module is waiting for, the client gets an answer before its time ends.
-    fn last_moment(&mut self, now: Micros, request: RequestId) {
+    fn on_last_moment(&mut self, now: Micros, request: RequestId) {
         let Some(open) = self.open.get_mut(&request) else { return };
         // Its time counts from its last byte.
         if let Some(progress) = open.call.body.progress() {
             let began = progress.finished_at().map_or(now, |at| self.clock.at(at));
             let mut last = began + open.left.saturating_sub(LAST_MARGIN.min(open.left / 4));
             if let Some(end) = self.lifecycle.ends_at() {
-                last = last.min(self.clock.at(end).saturating_sub(ENDS_AFTER));
+                last = last.min(self.clock.at(end).saturating_sub(SHUTDOWN_MARGIN));
             }
             if last > now {
-                return self.timers.push(Reverse((last, Due::LastMoment(request))));
+                return self.timers.push(Reverse((last, Timer::LastMoment(request))));
             }
         }
         open.call.cancel.trigger();
         let Some(client) = open.client.take() else { return };
         let _ = client.send(Answer::Failed);
-        self.feed(now, Event::ClientGone(request));
-        self.forget(request);
+        self.handle_event(now, Event::ClientGone(request));
+        self.remove_if_finished(request);
     }
 
-    fn take(&mut self, message: Message) {
+    fn on_message(&mut self, message: Message) {
         let now = self.clock.now();
         match message {
             Message::Request(inbound, client) => self.on_request(now, *inbound, client),
@@ -269,18 +269,18 @@
                 {
                     // Rule 1: an attempt that still waits for its connection is not sent for nobody.
                     open.call.cancel.trigger();
-                    self.feed(now, Event::ClientGone(request));
-                    self.forget(request);
+                    self.handle_event(now, Event::ClientGone(request));
+                    self.remove_if_finished(request);
                 }
             }
             Message::Begins(request, attempt, served) => self.on_begins(now, request, attempt, served),
             Message::Ended(request, attempt, result) => {
                 self.pending.push_back(Pending::Settled { request, attempt, result });
-                self.settle(now);
+                self.handle_pending(now);
             }
             Message::Probed(backend, result) => {
                 self.pending.push_back(Pending::Probed { backend, result });
-                self.settle(now);
+                self.handle_pending(now);
             }
             Message::Listed(scope, entries) => self.on_list(now, scope, &entries),
             Message::Avoided(asked) => {
@@ -296,10 +296,10 @@
         // A client with hardly any time at all is not robbed of what it has.
         request.patience = left.saturating_sub(ANSWER_MARGIN.min(left / 2));
         let last = now + left.saturating_sub(LAST_MARGIN.min(left / 4));
-        let open = Open { call: Rc::new(call), client: Some(client), left, attempts: Vec::new() };
+        let open = OpenRequest { call: Rc::new(call), client: Some(client), left, attempts: Vec::new() };
         self.open.insert(request.id, open);
-        self.timers.push(Reverse((last, Due::LastMoment(request.id))));
-        self.feed(now, Event::Request(request));
+        self.timers.push(Reverse((last, Timer::LastMoment(request.id))));
+        self.handle_event(now, Event::Request(request));
     }
 
     fn on_list(&mut self, now: Micros, scope: Scope, entries: &[Listed]) {
@@ -319,17 +319,17 @@
             Scope::Failed => Membership::Failed,
             Scope::Silent => Membership::Silent,
         };
-        self.feed(now, Event::Membership(news));
+        self.handle_event(now, Event::Membership(news));
     }
 
     /// Gives the module an event, and then whatever its actions have caused at once.
-    fn feed(&mut self, now: Micros, event: Event<'_>) {
+    fn handle_event(&mut self, now: Micros, event: Event<'_>) {
         self.balancer.handle(now, event, &mut self.actions);
-        self.act(now);
-        self.settle(now);
+        self.execute_actions(now);
+        self.handle_pending(now);
     }
 
-    fn settle(&mut self, now: Micros) {
+    fn handle_pending(&mut self, now: Micros) {
         while let Some(pending) = self.pending.pop_front() {
             match pending {
                 Pending::Probed { backend, result } => {
@@ -338,12 +338,12 @@
                 }
                 Pending::Settled { request, attempt, result } => self.on_ended(now, request, attempt, result),
             }
-            self.act(now);
+            self.execute_actions(now);
         }
     }
 
     /// How long an attempt took so far; that its request's body was still coming is not its backend's time.
-    fn elapsed(&self, now: Micros, open: &Open, attempt: &Attempt) -> Micros {
+    fn elapsed(&self, now: Micros, open: &OpenRequest, attempt: &Attempt) -> Micros {
         let whole_at = open.call.body.progress().and_then(|progress| progress.finished_at());
         now.saturating_sub(whole_at.map_or(0, |at| self.clock.at(at)).max(attempt.sent_at))
     }
@@ -356,7 +356,7 @@
         let open = &self.open[&request];
         let Some(attempt) = open.attempts.get(usize::from(number)) else { return };
         let elapsed = self.elapsed(now, open, attempt);
-        self.feed(now, Event::FirstByte { request, attempt: number, elapsed });
+        self.handle_event(now, Event::FirstByte { request, attempt: number, elapsed });
     }
 
     fn on_ended(&mut self, now: Micros, request: RequestId, number: u16, result: AttemptResult) {
@@ -380,18 +380,18 @@
         let (outcome, report, spent) = (result.outcome, result.report.as_slice(), result.spent);
         let settled = Settled { request, backend, attempt: number, outcome, closed, elapsed, report, spent };
         self.balancer.handle(now, Event::Settled(settled), &mut self.actions);
-        self.act(now);
-        self.forget(request);
+        self.execute_actions(now);
+        self.remove_if_finished(request);
     }
 
     /// Removes a request for which nothing more can come.
-    fn forget(&mut self, request: RequestId) {
-        if self.open.get(&request).is_some_and(Open::is_over) {
+    fn remove_if_finished(&mut self, request: RequestId) {
+        if self.open.get(&request).is_some_and(OpenRequest::is_finished) {
             self.open.remove(&request);
         }
     }
 
-    fn act(&mut self, now: Micros) {
+    fn execute_actions(&mut self, now: Micros) {
         let mut actions = std::mem::take(&mut self.actions);
         for action in actions.drain(..) {
             match action {
@@ -404,7 +404,7 @@
                 Action::Fail { request } => self.answer(request, Answer::Failed),
                 Action::Cancel { request, attempt } => self.cancel(request, attempt),
                 Action::SetTimer { after, token } => {
-                    self.timers.push(Reverse((now.saturating_add(after), Due::Module(token))));
+                    self.timers.push(Reverse((now.saturating_add(after), Timer::Balancer(token))));
                 }
                 Action::Subscribe => {
                     let _ = self.subscribe.send(());
@@ -420,7 +420,7 @@
     fn answer(&mut self, request: RequestId, answer: Answer) {
         if let Some(client) = self.open.get_mut(&request).and_then(|open| open.client.take()) {
             let _ = client.send(answer);
-            self.forget(request);
+            self.remove_if_finished(request);
         }
     }
 
--- a/src/proxy/framing.rs
+++ b/src/proxy/framing.rs
@@ -3,18 +3,18 @@
 //! has begun, which decides what a connection that has to go would cost.
 
 /// The largest line of a chunk's size with its extensions, or of a trailer.
-const LINE_CAP: usize = 4 * 1024;
+const MAX_LINE: usize = 4 * 1024;
 
 /// How a body ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Body {
+enum BodyLength {
     None,
-    Length(u64),
+    Known(u64),
     Chunked,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Part {
+enum State {
     Head,
     /// So many bytes of a body.
     Length(u64),
@@ -24,25 +24,25 @@
     Chunk(u64),
     Trailers,
     /// What comes makes no sense; the library says so to the client.
-    Lost,
+    Malformed,
 }
 
 /// Follows the bytes of one connection.
 #[derive(Debug)]
 pub struct Framing {
-    part: Part,
+    state: State,
     /// The present head, or line, as far as it has come.
-    begun: Vec<u8>,
+    partial: Vec<u8>,
     cap: usize,
     heads: u64,
-    bad: Option<u64>,
+    ambiguous_head: Option<u64>,
 }
 
 impl Framing {
     /// Nothing has come yet. Heads beyond `cap` bytes are the library's to turn away.
     #[must_use]
     pub fn new(cap: usize) -> Self {
-        Self { part: Part::Head, begun: Vec::new(), cap, heads: 0, bad: None }
+        Self { state: State::Head, partial: Vec::new(), cap, heads: 0, ambiguous_head: None }
     }
 
     /// How many heads are whole.
@@ -55,87 +55,87 @@
     /// ends.
     #[must_use]
     pub fn is_ambiguous(&self, head: u64) -> bool {
-        self.bad == Some(head)
+        self.ambiguous_head == Some(head)
     }
 
     /// Whether the last message is whole and no byte of a next one has come.
     #[must_use]
     pub fn is_between(&self) -> bool {
-        self.part == Part::Head && self.begun.is_empty()
+        self.state == State::Head && self.partial.is_empty()
     }
 
     /// Whether a part of a head has come.
     #[must_use]
     pub fn is_in_head(&self) -> bool {
-        self.part == Part::Head && !self.begun.is_empty()
+        self.state == State::Head && !self.partial.is_empty()
     }
 
     /// Takes the next bytes.
     pub fn feed(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() {
-            bytes = match self.part {
-                Part::Lost => return,
-                Part::Head => self.head(bytes),
-                Part::Length(left) => self.skip(bytes, left, Part::Length, Part::Head),
-                Part::Chunk(left) => self.skip(bytes, left, Part::Chunk, Part::Size),
-                Part::Size | Part::Trailers => self.line(bytes),
+            bytes = match self.state {
+                State::Malformed => return,
+                State::Head => self.head(bytes),
+                State::Length(left) => self.skip(bytes, left, State::Length, State::Head),
+                State::Chunk(left) => self.skip(bytes, left, State::Chunk, State::Size),
+                State::Size | State::Trailers => self.line(bytes),
             };
         }
     }
 
-    fn skip<'a>(&mut self, bytes: &'a [u8], left: u64, same: fn(u64) -> Part, next: Part) -> &'a [u8] {
+    fn skip<'a>(&mut self, bytes: &'a [u8], left: u64, same: fn(u64) -> State, next: State) -> &'a [u8] {
         let taken = usize::try_from(left).unwrap_or(usize::MAX).min(bytes.len());
         let left = left - taken as u64;
-        self.part = if left == 0 { next } else { same(left) };
+        self.state = if left == 0 { next } else { same(left) };
         &bytes[taken..]
     }
 
     fn head<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
         // Empty lines ahead of a request are no part of it.
-        if self.begun.is_empty() && matches!(bytes[0], b'\r' | b'\n') {
+        if self.partial.is_empty() && matches!(bytes[0], b'\r' | b'\n') {
             return &bytes[1..];
         }
-        let old = self.begun.len();
-        self.begun.extend_from_slice(&bytes[..bytes.len().min(self.cap)]);
-        let Some(end) = head_end(&self.begun, old.saturating_sub(3)) else {
-            if self.begun.len() >= self.cap {
-                self.part = Part::Lost;
+        let old = self.partial.len();
+        self.partial.extend_from_slice(&bytes[..bytes.len().min(self.cap)]);
+        let Some(end) = head_end(&self.partial, old.saturating_sub(3)) else {
+            if self.partial.len() >= self.cap {
+                self.state = State::Malformed;
             }
             return &bytes[bytes.len().min(self.cap)..];
         };
         self.heads += 1;
-        self.part = match body(&self.begun[..end]) {
-            Some(Body::None | Body::Length(0)) => Part::Head,
-            Some(Body::Length(length)) => Part::Length(length),
-            Some(Body::Chunked) => Part::Size,
+        self.state = match body(&self.partial[..end]) {
+            Some(BodyLength::None | BodyLength::Known(0)) => State::Head,
+            Some(BodyLength::Known(length)) => State::Length(length),
+            Some(BodyLength::Chunked) => State::Size,
             None => {
-                self.bad = Some(self.heads);
-                Part::Lost
+                self.ambiguous_head = Some(self.heads);
+                State::Malformed
             }
         };
-        self.begun.clear();
+        self.partial.clear();
         &bytes[end - old..]
     }
 
     fn line<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
         let end = bytes.iter().position(|&b| b == b'\n');
         let taken = end.map_or(bytes.len(), |end| end + 1);
-        if self.begun.len() + taken > LINE_CAP {
-            (self.part, self.begun) = (Part::Lost, Vec::new());
+        if self.partial.len() + taken > MAX_LINE {
+            (self.state, self.partial) = (State::Malformed, Vec::new());
             return &[];
         }
-        self.begun.extend_from_slice(&bytes[..taken]);
+        self.partial.extend_from_slice(&bytes[..taken]);
         if end.is_some() {
-            self.part = match (self.part, self.begun.as_slice()) {
-                (Part::Size, line) => match size(line) {
-                    Some(0) => Part::Trailers,
-                    Some(size) => Part::Chunk(size.saturating_add(2)),
-                    None => Part::Lost,
+            self.state = match (self.state, self.partial.as_slice()) {
+                (State::Size, line) => match size(line) {
+                    Some(0) => State::Trailers,
+                    Some(size) => State::Chunk(size.saturating_add(2)),
+                    None => State::Malformed,
                 },
-                (_, b"\r\n" | b"\n") => Part::Head,
-                (part, _) => part,
+                (_, b"\r\n" | b"\n") => State::Head,
+                (state, _) => state,
             };
-            self.begun.clear();
+            self.partial.clear();
         }
         &bytes[taken..]
     }
@@ -152,21 +152,21 @@
 }
 
 /// How the body behind a head ends; `None` where that can be read in two ways.
-fn body(head: &[u8]) -> Option<Body> {
-    let mut body = Body::None;
+fn body(head: &[u8]) -> Option<BodyLength> {
+    let mut body = BodyLength::None;
     for line in head.split(|&b| b == b'\n').skip(1) {
         let Some(colon) = line.iter().position(|&b| b == b':') else { continue };
         let (name, value) = (&line[..colon], line[colon + 1..].trim_ascii());
         let told = if name.eq_ignore_ascii_case(b"content-length") {
             let digits = value.iter().all(u8::is_ascii_digit).then_some(value)?;
-            Body::Length(std::str::from_utf8(digits).ok()?.parse().ok()?)
+            BodyLength::Known(std::str::from_utf8(digits).ok()?.parse().ok()?)
         } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
             // No other coding is undone here, and none may be hidden from the backend.
-            value.eq_ignore_ascii_case(b"chunked").then_some(Body::Chunked)?
+            value.eq_ignore_ascii_case(b"chunked").then_some(BodyLength::Chunked)?
         } else {
             continue;
         };
-        if body != Body::None {
+        if body != BodyLength::None {
             return None;
         }
         body = told;
--- a/src/proxy/framing/tests.rs
+++ b/src/proxy/framing/tests.rs
@@ -7,7 +7,7 @@
     let (mut whole, mut pieces) = (Framing::new(1_000), Framing::new(1_000));
     whole.feed(text.as_bytes());
     text.as_bytes().chunks(1).for_each(|byte| pieces.feed(byte));
-    let seen = |f: &Framing| (f.part, f.heads, f.bad, f.is_between(), f.is_in_head());
+    let seen = |f: &Framing| (f.state, f.heads, f.ambiguous_head, f.is_between(), f.is_in_head());
     assert_eq!(seen(&whole), seen(&pieces), "{text}");
     whole
 }
@@ -27,7 +27,7 @@
     ];
     for text in &whole {
         let framing = after(text);
-        assert!(framing.is_between() && framing.heads() == 1 && framing.bad.is_none(), "{text}");
+        assert!(framing.is_between() && framing.heads() == 1 && framing.ambiguous_head.is_none(), "{text}");
     }
     let framing = after(&whole.concat());
     assert!(framing.is_between() && framing.heads() == 6, "one behind another");
@@ -68,7 +68,7 @@
     let size = after(&format!("{POST}Transfer-Encoding: chunked\r\n\r\n1;{}", "x".repeat(50_000)));
     let odd = after(&format!("{POST}Transfer-Encoding: chunked\r\n\r\nxyz\r\n"));
     for framing in [head, size, odd] {
-        assert_eq!(framing.part, Part::Lost);
-        assert!(framing.begun.capacity() < 20_000);
+        assert_eq!(framing.state, State::Malformed);
+        assert!(framing.partial.capacity() < 20_000);
     }
 }
--- a/src/proxy/lifecycle.rs
+++ b/src/proxy/lifecycle.rs
@@ -9,7 +9,7 @@
 
 /// How long a connection that clients hold may still bring a request once the process is to be left alone.
 /// Closed sooner, it would often cross one that is on its way.
-const GRACE: Duration = Duration::from_millis(1_500);
+const DRAIN_GRACE: Duration = Duration::from_millis(1_500);
 /// Connections on which nothing happens are closed this long before the last answers are due: a request that
 /// comes on one until then still gets its answer.
 const CLOSED_BEFORE: Duration = Duration::from_millis(100);
@@ -37,12 +37,12 @@
     /// A list of backends is held and clients are accepted.
     can_serve: Cell<bool>,
     /// The times of its end, once it was told to end.
-    end: Cell<Option<End>>,
+    shutdown: Cell<Option<ShutdownTimes>>,
 }
 
 /// How a process ends.
 #[derive(Clone, Copy, Debug)]
-pub struct End {
+pub struct ShutdownTimes {
     /// What comes from now on is answered by then: later, the process may be killed.
     pub answers_by: Instant,
     /// It ends then, whatever is open.
@@ -54,7 +54,7 @@
     #[must_use]
     pub fn start() -> Rc<Self> {
         let stage = watch::Sender::new(Stage::Starting);
-        Rc::new(Self { stage, can_serve: Cell::new(false), end: Cell::new(None) })
+        Rc::new(Self { stage, can_serve: Cell::new(false), shutdown: Cell::new(None) })
     }
 
     /// How far it is.
@@ -65,7 +65,7 @@
 
     /// Tells of each change.
     #[must_use]
-    pub fn follow(&self) -> watch::Receiver<Stage> {
+    pub fn subscribe(&self) -> watch::Receiver<Stage> {
         self.stage.subscribe()
     }
 
@@ -84,7 +84,7 @@
     /// It can serve from now on.
     pub fn can_serve(&self) {
         self.can_serve.set(true);
-        self.go(|stage| if stage == Stage::Starting { Stage::InService } else { stage });
+        self.transition(|stage| if stage == Stage::Starting { Stage::InService } else { stage });
     }
 
     /// An operator empties the proxy. Said again it changes nothing.
@@ -92,7 +92,7 @@
     /// # Errors
     /// Where the process ends anyway.
     pub fn take_out(&self) -> Result<(), IsStopping> {
-        self.go(|stage| if stage == Stage::Stopping { stage } else { Stage::OutOfService });
+        self.transition(|stage| if stage == Stage::Stopping { stage } else { Stage::OutOfService });
         self.is_not_stopping()
     }
 
@@ -102,40 +102,40 @@
     /// Where the process ends.
     pub fn take_in(&self) -> Result<(), IsStopping> {
         let back = if self.can_serve.get() { Stage::InService } else { Stage::Starting };
-        self.go(|stage| if stage == Stage::OutOfService { back } else { stage });
+        self.transition(|stage| if stage == Stage::OutOfService { back } else { stage });
         self.is_not_stopping()
     }
 
     /// The process was told to end.
-    pub fn stop(&self, end: End) {
-        self.end.set(Some(end));
-        self.go(|_| Stage::Stopping);
+    pub fn stop(&self, times: ShutdownTimes) {
+        self.shutdown.set(Some(times));
+        self.transition(|_| Stage::Stopping);
     }
 
     /// How long a request that comes now may take at the most: none outlives the process.
     #[must_use]
     pub fn time_left(&self) -> Option<Duration> {
-        self.end.get().map(|end| end.answers_by.saturating_duration_since(Instant::now()))
+        self.shutdown.get().map(|times| times.answers_by.saturating_duration_since(Instant::now()))
     }
 
     /// When the process ends, if it was told to.
     #[must_use]
     pub fn ends_at(&self) -> Option<Instant> {
-        self.end.get().map(|end| end.ends_at)
+        self.shutdown.get().map(|times| times.ends_at)
     }
 
     /// When a connection is closed on which nothing happens from now on, if clients are to leave.
     #[must_use]
     pub fn closes_at(&self) -> Option<Instant> {
-        let (now, last) = (Instant::now(), self.end.get().map(|end| end.answers_by - CLOSED_BEFORE));
-        self.is_leaving().then(|| last.map_or(now + GRACE, |last| last.min(now + GRACE)))
+        let (now, last) = (Instant::now(), self.shutdown.get().map(|times| times.answers_by - CLOSED_BEFORE));
+        self.is_leaving().then(|| last.map_or(now + DRAIN_GRACE, |last| last.min(now + DRAIN_GRACE)))
     }
 
     fn is_not_stopping(&self) -> Result<(), IsStopping> {
         if self.stage() == Stage::Stopping { Err(IsStopping) } else { Ok(()) }
     }
 
-    fn go(&self, next: impl Fn(Stage) -> Stage) {
+    fn transition(&self, next: impl Fn(Stage) -> Stage) {
         self.stage.send_if_modified(|stage| {
             let before = std::mem::replace(stage, next(*stage));
             before != *stage
--- a/src/proxy/lifecycle/tests.rs
+++ b/src/proxy/lifecycle/tests.rs
@@ -33,7 +33,7 @@
     life.can_serve();
     assert_eq!(life.time_left(), None);
     let end = |ms| Instant::now() + Duration::from_millis(ms);
-    life.stop(End { answers_by: end(3_000), ends_at: end(5_000) });
+    life.stop(ShutdownTimes { answers_by: end(3_000), ends_at: end(5_000) });
     assert_eq!((life.closes_at(), life.ends_at()), (Some(end(1_500)), Some(end(5_000))));
     assert_eq!((life.take_in(), life.take_out()), (Err(IsStopping), Err(IsStopping)));
     assert!(life.is_leaving());
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -34,22 +34,22 @@
 const ANSWER_STALL: Duration = Duration::from_secs(10);
 
 /// The lines of the log in a second; no peer can make it grow faster.
-const LINES_A_SECOND: u32 = 100;
+const LOG_LINES_PER_SECOND: u32 = 100;
 
 thread_local! {
     /// When the present second of the log began, and its lines so far.
-    static LINES: Cell<(Option<Instant>, u32)> = const { Cell::new((None, 0)) };
+    static LOG_LINES: Cell<(Option<Instant>, u32)> = const { Cell::new((None, 0)) };
 }
 
 /// Whether a further line of the log may be written at `now`, and how many lines before it were not.
-fn admit(now: Instant, lines: &Cell<(Option<Instant>, u32)>) -> Option<u32> {
+fn admit_line(now: Instant, lines: &Cell<(Option<Instant>, u32)>) -> Option<u32> {
     let (began, count) = lines.get();
     if began.is_none_or(|began| now.saturating_duration_since(began).as_secs() >= 1) {
         lines.set((Some(now), 1));
-        return Some(count.saturating_sub(LINES_A_SECOND));
+        return Some(count.saturating_sub(LOG_LINES_PER_SECOND));
     }
     lines.set((began, count.saturating_add(1)));
-    (count < LINES_A_SECOND).then_some(0)
+    (count < LOG_LINES_PER_SECOND).then_some(0)
 }
 
 /// Connects to a backend or to discovery. The socket is made first and connected then: made and connected in
@@ -63,7 +63,7 @@
 /// A line for the operators. Unlike `eprintln!` it does not panic when nobody reads standard error.
 pub fn log(line: std::fmt::Arguments<'_>) {
     use std::io::Write;
-    let Some(left_out) = LINES.with(|lines| admit(Instant::now(), lines)) else { return };
+    let Some(left_out) = LOG_LINES.with(|lines| admit_line(Instant::now(), lines)) else { return };
     if left_out > 0 {
         let _ = writeln!(std::io::stderr(), "({left_out} lines left out)");
     }
--- a/src/proxy/operator.rs
+++ b/src/proxy/operator.rs
@@ -2,7 +2,7 @@
 
 use super::backends::Fleet;
 use super::bodies::BufferedBody;
-use super::clients::{Rejected, linger, plain};
+use super::clients::{Rejection, linger, plain};
 use super::counters::Counters;
 use super::driver::{Handle, Message};
 use super::lifecycle::{IsStopping, Lifecycle};
@@ -30,7 +30,7 @@
 
 /// Calls that may be open at a time. Beyond it the one that came first goes: a call that is whole is answered
 /// at once, so that one has been waited for longest.
-pub const MOST_CALLS: usize = 12;
+pub const MAX_CALLS: usize = 12;
 /// How long a caller may take for its call.
 const CALL_TIME: Duration = Duration::from_millis(2_000);
 /// The largest head of a call; hyper takes no smaller one.
@@ -77,7 +77,7 @@
             };
             let mut open = open.borrow_mut();
             open.retain(|call| !call.is_finished());
-            if open.len() >= MOST_CALLS
+            if open.len() >= MAX_CALLS
                 && let Some(first) = open.pop_front()
             {
                 first.abort();
@@ -93,7 +93,7 @@
             let operator = Rc::clone(&self);
             Box::pin(async move {
                 let answer = operator.answer(request, late).await;
-                Ok::<_, Infallible>(answer.unwrap_or_else(Rejected::into_response))
+                Ok::<_, Infallible>(answer.unwrap_or_else(Rejection::into_response))
             })
         });
         let mut conn = http1::Builder::new()
@@ -106,27 +106,27 @@
         linger(&Socket::new(conn.into_parts().io.into_inner())).await;
     }
 
-    async fn answer(&self, request: Request<Incoming>, late: Instant) -> Result<Answer, Rejected> {
+    async fn answer(&self, request: Request<Incoming>, late: Instant) -> Result<Answer, Rejection> {
         let (head, body) = request.into_parts();
         let post = match head.uri.path() {
             "/control/ready" | "/control/counters" => false,
             "/control/out-of-service" | "/control/in-service" => true,
-            _ => return Err(Rejected::new(StatusCode::NOT_FOUND, "no such call\n")),
+            _ => return Err(Rejection::new(StatusCode::NOT_FOUND, "no such call\n")),
         };
         let (allowed, names): (&[Method], _) =
             if post { (&[Method::POST], "POST") } else { (&[Method::GET, Method::HEAD], "GET, HEAD") };
         if !allowed.contains(&head.method) {
-            return Err(Rejected::method(names));
+            return Err(Rejection::method(names));
         }
         // Half a call is none.
-        let too_large = Rejected::new(StatusCode::PAYLOAD_TOO_LARGE, "the call is too large\n");
+        let too_large = Rejection::new(StatusCode::PAYLOAD_TOO_LARGE, "the call is too large\n");
         if body.size_hint().lower() > BODY_CAP as u64 {
             return Err(too_large);
         }
         match timeout_at(late, Limited::new(body, BODY_CAP).collect()).await {
-            Err(_) => return Err(Rejected::new(StatusCode::REQUEST_TIMEOUT, "the call is late\n")),
+            Err(_) => return Err(Rejection::new(StatusCode::REQUEST_TIMEOUT, "the call is late\n")),
             Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => return Err(too_large),
-            Ok(Err(_)) => return Err(Rejected::new(StatusCode::BAD_REQUEST, "the call is broken\n")),
+            Ok(Err(_)) => return Err(Rejection::new(StatusCode::BAD_REQUEST, "the call is broken\n")),
             Ok(Ok(_)) => {}
         }
         match head.uri.path() {
@@ -134,13 +134,13 @@
             "/control/out-of-service" => self.done("out of service", self.lifecycle.take_out()),
             "/control/in-service" => self.done("in service", self.lifecycle.take_in()),
             _ if self.lifecycle.is_up() => Ok(plain(StatusCode::OK, "ready\n")),
-            _ => Err(Rejected::new(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")),
+            _ => Err(Rejection::new(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")),
         }
     }
 
-    fn done(&self, what: &str, done: Result<(), IsStopping>) -> Result<Answer, Rejected> {
+    fn done(&self, what: &str, done: Result<(), IsStopping>) -> Result<Answer, Rejection> {
         log(format_args!("an operator wants the proxy {what}: {:?}", self.lifecycle.stage()));
-        done.map_err(|IsStopping| Rejected::new(StatusCode::CONFLICT, "the process ends\n"))?;
+        done.map_err(|IsStopping| Rejection::new(StatusCode::CONFLICT, "the process ends\n"))?;
         Ok(plain(StatusCode::OK, "done\n"))
     }
 
--- a/src/proxy/tests.rs
+++ b/src/proxy/tests.rs
@@ -3,8 +3,8 @@
 #[test]
 fn a_flood_of_lines_is_cut_off_and_counted() {
     let (lines, began) = (Cell::default(), Instant::now());
-    let written = (0..250).filter(|_| admit(began, &lines).is_some()).count();
-    assert_eq!(written as u32, LINES_A_SECOND);
-    assert_eq!(admit(began + Duration::from_secs(2), &lines), Some(150));
-    assert_eq!(admit(began + Duration::from_secs(2), &lines), Some(0));
+    let written = (0..250).filter(|_| admit_line(began, &lines).is_some()).count();
+    assert_eq!(written as u32, LOG_LINES_PER_SECOND);
+    assert_eq!(admit_line(began + Duration::from_secs(2), &lines), Some(150));
+    assert_eq!(admit_line(began + Duration::from_secs(2), &lines), Some(0));
 }
