--- a/src/proxy/ahead.rs
+++ b/src/proxy/read_ahead.rs
@@ -1,7 +1,8 @@
 //! Bytes that were read from a connection ahead of the HTTP side, in the order in which they came.
 //!
-//! The end of a connection is seen only once all that came ahead of it has left the kernel, and the HTTP side reads
-//! nothing behind an open request. What a client sends there is kept here, so that its leaving is noticed.
+//! The end of a connection is seen only once all that came ahead of it has left the kernel, and the HTTP side
+//! reads nothing behind an open request. What a client sends there is kept here, so that its leaving is
+//! noticed.
 
 use super::BODY_CAP;
 use super::budget::{self, Reserved};
@@ -53,7 +54,7 @@
     }
 
     /// Moves as many bytes to `buffer` as it has room for. What is not held any more is given back.
-    pub fn hand_over(&mut self, buffer: &mut ReadBuf<'_>) {
+    pub fn move_into(&mut self, buffer: &mut ReadBuf<'_>) {
         let taken = self.bytes.len().min(buffer.remaining());
         buffer.put_slice(&self.bytes[..taken]);
         self.bytes.advance(taken);
@@ -64,7 +65,7 @@
     }
 
     /// Remembers the HTTP side, which has found nothing to read: bytes may go past it from now on.
-    pub fn wake_later(&mut self, reader: &Waker) {
+    pub fn register_reader(&mut self, reader: &Waker) {
         self.reader = Some(reader.clone());
     }
 }
