--- a/lab/src/fleet/backend.rs
+++ b/lab/src/fleet/backend.rs
@@ -1,7 +1,7 @@
 //! An emulated backend: cores, a bounded queue, a cold start, and the ways in which it fails.
 //!
-//! It holds attempts by their number in the simulation's table and never looks into them; the simulation tells it
-//! what arrives and what is done, and schedules the ends of work that it names.
+//! It holds attempts by their number in the simulation's table and never looks into them; the simulation
+//! tells it what arrives and what is done, and schedules the ends of work that it names.
 
 use super::topology::Machine;
 use std::collections::VecDeque;
@@ -36,8 +36,8 @@
         self.from + (1.0 - self.from) * progress
     }
 
-    /// The requests of mean work that a backend of `capacity` stands within the fall time, `age` after its start:
-    /// N plus chance's share of 2 sqrt(N) + 2, N being multiple x present capacity x fall time.
+    /// The requests of mean work that a backend of `capacity` stands within the fall time, `age` after its
+    /// start: N plus chance's share of 2 sqrt(N) + 2, N being multiple x present capacity x fall time.
     #[must_use]
     pub fn budget(&self, capacity: f64, age: Micros) -> f64 {
         let requests =
@@ -186,8 +186,9 @@
         Admission::Queued
     }
 
-    /// Counts an attempt against the cold start's budget. Every attempt that reaches it weighs, refused ones too;
-    /// `informed` tells whether its proxy had been informed of the start. Returns the fall if it falls over.
+    /// Counts an attempt against the cold start's budget. Every attempt that reaches it weighs, refused ones
+    /// too; `informed` tells whether its proxy had been informed of the start. Returns the fall if it falls
+    /// over.
     pub fn weigh(&mut self, now: Micros, work: f64, informed: bool, cold: &ColdStart) -> Option<Fall> {
         let load = self.cold.as_mut()?;
         let age = now.saturating_sub(self.started.unwrap_or_default());
--- a/lab/src/fleet/client.rs
+++ b/lab/src/fleet/client.rs
@@ -161,7 +161,8 @@
     }
 }
 
-/// Time's worth of its allowance that a tenant may ask for at once, seconds, and the least that it may, calls.
+/// Time's worth of its allowance that a tenant may ask for at once, seconds, and the least that it may,
+/// calls.
 const ALLOWANCE_BURST_S: f64 = 0.5;
 const LEAST_BURST: f64 = 10.0;
 
@@ -282,7 +283,8 @@
         self.zones[usize::from(zone)] = ZoneFront::new(topology, zone, &self.admitted);
     }
 
-    /// The proxy for a call, chosen by a number in 0..1: of the client's zone, or of the next zone that has one.
+    /// The proxy for a call, chosen by a number in 0..1: of the client's zone, or of the next zone that has
+    /// one.
     #[must_use]
     pub fn choose(&self, call: &ClientCall, drawn: f64) -> Option<ProxyNumber> {
         let shift = self.shifts.iter().find(|shift| shift.from == call.zone && call.shift < shift.fraction);
--- a/lab/src/fleet/discovery.rs
+++ b/lab/src/fleet/discovery.rs
@@ -1,7 +1,8 @@
 //! The discovery that all proxies share: revisions of the list, watches, and calls that wait for their turn.
 //!
-//! Whole lists and calls that begin a watch are handled one after another; a watch that is continued stands at
-//! once. What is published goes to every standing watch. The simulation carries calls here and answers back.
+//! Whole lists and calls that begin a watch are handled one after another; a watch that is continued stands
+//! at once. What is published goes to every standing watch. The simulation carries calls here and answers
+//! back.
 
 use super::scenario::{self, milliseconds};
 use std::collections::VecDeque;
@@ -202,8 +203,8 @@
         Received::Standing
     }
 
-    /// Handles what waits for its turn next. A call that begins a watch and finds nothing newer stands; its wait
-    /// is returned so that the simulation ends it.
+    /// Handles what waits for its turn next. A call that begins a watch and finds nothing newer stands; its
+    /// wait is returned so that the simulation ends it.
     pub fn take_turn(&mut self, now: Micros) -> Option<(Received, Call)> {
         match self.turns.pop_front()? {
             Turn::Watch { proxy, serial } => {
@@ -291,8 +292,8 @@
         self.noticed.len() == 1
     }
 
-    /// Publishes what it has noticed. Returns the replies to the standing watches; where answers take turns they
-    /// wait for these instead.
+    /// Publishes what it has noticed. Returns the replies to the standing watches; where answers take turns
+    /// they wait for these instead.
     pub fn publish(&mut self) -> Vec<Reply> {
         for backend in std::mem::take(&mut self.noticed) {
             self.list[backend.id as usize] = backend;
--- a/lab/src/fleet/events.rs
+++ b/lab/src/fleet/events.rs
@@ -1,8 +1,8 @@
 //! The event queue: what happens next in virtual time.
 //!
-//! Events of the same time come in the order in which they were pushed, so that a run depends on its seed alone.
-//! The near future is a binary heap; later events wait in the slots of a wheel, unsorted, until their slot is
-//! near. Pushing costs constant time for most events, however many deadlines are pending.
+//! Events of the same time come in the order in which they were pushed, so that a run depends on its seed
+//! alone. The near future is a binary heap; later events wait in the slots of a wheel, unsorted, until their
+//! slot is near. Pushing costs constant time for most events, however many deadlines are pending.
 
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -1,12 +1,12 @@
 //! The `fleet` experiment: a whole fleet in virtual time.
 //!
-//! Every proxy hosts the real decision module with its own settings, state and seed. Backends, discovery, networks
-//! and clients are emulated by a discrete-event simulation that depends on its seed alone. Beside the module two
-//! baselines are played on the same arrivals and events.
+//! Every proxy hosts the real decision module with its own settings, state and seed. Backends, discovery,
+//! networks and clients are emulated by a discrete-event simulation that depends on its seed alone. Beside
+//! the module two baselines are played on the same arrivals and events.
 //!
-//! What is not emulated: processor time of the proxies, single connections and their setup, streamed answers, probes,
-//! services (every backend serves every request), and the rule that a proxy which has not asked for long counts as
-//! informed: rules 3 and 4 go by what discovery has in fact told it.
+//! What is not emulated: processor time of the proxies, single connections and their setup, streamed answers,
+//! probes, services (every backend serves every request), and the rule that a proxy which has not asked for
+//! long counts as informed: rules 3 and 4 go by what discovery has in fact told it.
 
 pub mod backend;
 pub mod client;
@@ -67,8 +67,8 @@
 /// Runs the experiment.
 ///
 /// # Errors
-/// [`LabError::Scenario`] for a scenario that can't be played, [`LabError::Unwritable`] for a result that can't be
-/// written.
+/// [`LabError::Scenario`] for a scenario that can't be played, [`LabError::Unwritable`] for a result that
+/// can't be written.
 pub fn run(options: &FleetOptions) -> Result<(), LabError> {
     let scenario = read_scenario(options)?;
     let seed = options.common.seed;
--- a/lab/src/fleet/proxy.rs
+++ b/lab/src/fleet/proxy.rs
@@ -1,5 +1,5 @@
-//! A hollow proxy: the policy, what it was told, and how it follows discovery. Everything else of a real proxy is
-//! emulated by the simulation.
+//! A hollow proxy: the policy, what it was told, and how it follows discovery. Everything else of a real
+//! proxy is emulated by the simulation.
 
 use super::discovery::{Call, ProxyNumber, Revision};
 use super::policy::Policy;
@@ -43,8 +43,8 @@
     pub timeout: Micros,
 }
 
-/// How a proxy follows discovery, as `src/proxy/discovery.rs` does: one call at a time; a watch is continued at once
-/// after each answer, and begun anew when the policy asks for it after a failure.
+/// How a proxy follows discovery, as `src/proxy/discovery.rs` does: one call at a time; a watch is continued
+/// at once after each answer, and begun anew when the policy asks for it after a failure.
 #[derive(Clone, Debug)]
 pub struct Watcher {
     proxy: ProxyNumber,
--- a/lab/src/fleet/random.rs
+++ b/lab/src/fleet/random.rs
@@ -20,7 +20,8 @@
     Proxies,
 }
 
-/// Multiplier of the SplitMix64 sequence (Steele, Lea and Flood, "Fast splittable pseudorandom number generators").
+/// Multiplier of the SplitMix64 sequence (Steele, Lea and Flood, "Fast splittable pseudorandom number
+/// generators").
 const GOLDEN_GAMMA: u64 = 0x9e37_79b9_7f4a_7c15;
 
 /// The generator of one concern, or of the `index`th part of it.
--- a/lab/src/fleet/simulation/attempts.rs
+++ b/lab/src/fleet/simulation/attempts.rs
@@ -21,7 +21,7 @@
         let to = machines[backend as usize];
         self.checker.on_send(now, &request, class, &to, &told, machine_of);
         let (zone, incarnation) = (proxy.zone, proxy.incarnation);
-        let work = self.calls[request.call].work;
+        let work = self.clients.calls[request.call].work;
         let attempt = Attempt {
             request: place,
             proxy: request.proxy,
--- a/lab/src/fleet/simulation/clients.rs
+++ b/lab/src/fleet/simulation/clients.rs
@@ -1,16 +1,50 @@
 //! Clients in the simulation: arrivals, tries, answers, and clients that leave or give up.
 
-use super::super::client::{ArrivalStream, ClientCall, TryEnd};
+use super::super::client::{Allowances, ArrivalStream, ClientCall, Demand, Front, RetryBehavior, TryEnd};
 use super::super::metrics::CallEnd;
 use super::super::proxy::ProxyLife;
 use super::super::request::TrackedRequest;
-use super::super::scenario::milliseconds;
-use super::{NO_PLACE, SimEvent, Simulation};
-use tillerproxy::api::{Event, Micros, Request, RequestId};
+use super::super::scenario::{FleetScenario, milliseconds, seconds};
+use super::super::slab::RefSlab;
+use super::super::topology::Topology;
+use super::{SimEvent, Simulation};
+use tillerproxy::api::{Event, Micros, Request, RequestId, Settings};
+
+/// What the simulation keeps of the clients.
+pub(super) struct ClientSide {
+    pub(super) demand: Demand,
+    /// What tenants may ask for, which decides the worth of their calls.
+    allowances: Allowances,
+    streams: Vec<ArrivalStream>,
+    pub(super) front: Front,
+    retries: RetryBehavior,
+    pub(super) calls: RefSlab<ClientCall>,
+}
+
+impl ClientSide {
+    /// Clients before their first call.
+    pub(super) fn new(
+        scenario: &FleetScenario,
+        topology: &Topology,
+        demand: Demand,
+        settings: &Settings,
+        seed: u64,
+    ) -> Self {
+        let until = seconds(scenario.duration_s);
+        Self {
+            allowances: Allowances::new(settings.tenants.iter().map(|tenant| tenant.allowance_per_s)),
+            streams: vec![ArrivalStream::new(demand.rate, 0, until, None, seed, 0)],
+            demand,
+            front: Front::new(topology),
+            retries: RetryBehavior::new(&scenario.clients, seed),
+            calls: RefSlab::new(),
+        }
+    }
+}
 
 impl Simulation<'_> {
     pub(super) fn schedule_arrival(&mut self, stream: u32) {
-        if let Some(at) = self.streams[stream as usize].next_arrival() {
+        if let Some(at) = self.clients.streams[stream as usize].next_arrival() {
             self.queue.push(at, SimEvent::Arrival { stream });
         }
     }
@@ -18,46 +52,55 @@
     /// A tenant's surge begins: a further stream of arrivals.
     pub(super) fn begin_surge(&mut self, now: Micros, number: u32) {
         let surge = self.plan.surges[number as usize];
-        let rate = self.demand.rate * self.demand.tenant_share(surge.tenant) * (surge.multiple - 1.0);
-        let index = self.streams.len();
+        let rate = self.clients.demand.rate
+            * self.clients.demand.tenant_share(surge.tenant)
+            * (surge.multiple - 1.0);
+        let index = self.clients.streams.len();
         let (until, tenant) = (surge.until, Some(surge.tenant));
-        self.streams.push(ArrivalStream::new(rate, now, until, tenant, self.seed, u64::from(number) + 1));
+        self.clients.streams.push(ArrivalStream::new(
+            rate,
+            now,
+            until,
+            tenant,
+            self.seed,
+            u64::from(number) + 1,
+        ));
         self.schedule_arrival(index as u32);
     }
 
     pub(super) fn on_arrival(&mut self, now: Micros, stream: u32) {
-        let mut call = self.streams[stream as usize].draw(now, &self.demand);
+        let mut call = self.clients.streams[stream as usize].draw(now, &self.clients.demand);
         call.worth = self.scenario.classes[usize::from(call.class)].worth;
-        if !self.allowances.take(now, call.tenant) {
+        if !self.clients.allowances.take(now, call.tenant) {
             call.worth *= self.settings.over_share_worth;
         }
         self.schedule_arrival(stream);
-        let place = self.calls.insert(call, 1);
+        let place = self.clients.calls.insert(call, 1);
         self.begin_try(now, place, call.way);
     }
 
     pub(super) fn on_retry(&mut self, now: Micros, call: u32) {
-        if self.calls[call].ended {
-            self.calls.release(call);
+        if self.clients.calls[call].ended {
+            self.clients.calls.release(call);
             return;
         }
-        let way = self.retries.draw_way();
+        let way = self.clients.retries.draw_way();
         self.begin_try(now, call, way);
     }
 
     /// Sends a client's next try on its way. Takes over a reference to the call.
     fn begin_try(&mut self, now: Micros, place: u32, way: f64) {
         self.metrics.attempts.tries += 1;
-        self.calls[place].tries += 1;
-        let call = self.calls[place];
+        self.clients.calls[place].tries += 1;
+        let call = self.clients.calls[place];
         let class = &self.scenario.classes[usize::from(call.class)];
-        let Some(proxy) = self.front.choose(&call, way) else {
+        let Some(proxy) = self.clients.front.choose(&call, way) else {
             self.end_call(place, CallEnd::Failed);
-            self.calls.release(place);
+            self.clients.calls.release(place);
             return;
         };
-        let deadline = self.retries.try_deadline(now, &call, class);
-        let leaves_at = self.retries.leaves_at(&call, class).filter(|_| call.tries == 1);
+        let deadline = self.clients.retries.try_deadline(now, &call, class);
+        let leaves_at = self.clients.retries.leaves_at(&call, class).filter(|_| call.tries == 1);
         let id = self.places.len() as RequestId;
         let request = TrackedRequest::new(id, place, call.class, proxy, deadline);
         let request = self.requests.insert(request, 2);
@@ -86,7 +129,7 @@
                 let taken = &mut self.requests[place];
                 (taken.taken, taken.incarnation) = (true, incarnation);
                 self.checker.on_taken();
-                self.hand_over(now, &request);
+                self.hand_over(now, place);
             }
             ProxyLife::Dead => {
                 let back = self.client_latency();
@@ -100,20 +143,19 @@
         self.release_request(place);
     }
 
-    fn hand_over(&mut self, now: Micros, request: &TrackedRequest) {
-        let call = self.calls[request.call];
+    /// A request goes to the policy of the proxy that took it.
+    fn hand_over(&mut self, now: Micros, place: u32) {
+        let TrackedRequest { id, call, class, proxy, deadline, .. } = self.requests[place];
+        let call = &self.clients.calls[call];
         let request = Request {
-            id: request.id,
-            class: request.class,
+            id,
+            class,
             tenant: call.tenant,
             key: Some(call.key),
-            patience: request.deadline.saturating_sub(now),
+            patience: deadline.saturating_sub(now),
             work: None,
             repeat: call.tries > 1,
         };
-        let place = self.places[request.id as usize];
-        debug_assert_ne!(place, NO_PLACE, "the event that brings it here refers to it");
-        let proxy = self.requests[place].proxy;
         self.tell_policy(now, proxy, Event::Request(request));
     }
 
@@ -143,7 +185,7 @@
             return self.end_try(place, at, TryEnd::TimedOut);
         }
         self.requests[place].client_gone = true;
-        let ClientCall { born, class, .. } = self.calls[call];
+        let ClientCall { born, class, .. } = self.clients.calls[call];
         let latency = at - born;
         let in_time = latency <= milliseconds(self.scenario.classes[usize::from(class)].aim_ms);
         self.end_call(call, CallEnd::Served { latency, in_time });
@@ -155,13 +197,13 @@
         let end = if at > request.deadline { TryEnd::TimedOut } else { end };
         request.client_gone = true;
         let call_place = request.call;
-        let call = self.calls[call_place];
+        let call = self.clients.calls[call_place];
         if call.ended {
             return;
         }
         let class = &self.scenario.classes[usize::from(call.class)];
-        if let Some(wait) = self.retries.wait(at, &call, class, end) {
-            self.calls.retain(call_place);
+        if let Some(wait) = self.clients.retries.wait(at, &call, class, end) {
+            self.clients.calls.retain(call_place);
             self.queue.push(at + wait, SimEvent::Retry { call: call_place });
             return;
         }
@@ -176,7 +218,7 @@
     }
 
     fn end_call(&mut self, place: u32, end: CallEnd) {
-        let call = &mut self.calls[place];
+        let call = &mut self.clients.calls[place];
         if call.ended {
             return;
         }
--- a/lab/src/fleet/simulation/control.rs
+++ b/lab/src/fleet/simulation/control.rs
@@ -1,17 +1,60 @@
-//! Discovery and the timeline in the simulation: calls and replies, publications, and the changes to machines.
+//! Discovery and the timeline in the simulation: calls and replies, publications, and the changes to
+//! machines.
 
 use super::super::backend::Life;
-use super::super::discovery::{Answer, Call, ProxyNumber, Received, Reply};
+use super::super::discovery::{Answer, Call, Discovery, ProxyNumber, Received, Reply};
 use super::super::faults::Change;
 use super::super::proxy::{OutgoingCall, ProxyLife, membership};
-use super::super::scenario::{milliseconds, seconds};
+use super::super::scenario::{FleetScenario, milliseconds, seconds};
+use super::super::slab::RefSlab;
+use super::super::topology::{Machine, Topology};
 use super::{SimEvent, Simulation};
 use rand::Rng;
+use std::collections::VecDeque;
 use tillerproxy::api::{Backend, BackendId, Event, Membership, Micros, Readiness, Settings};
 
 /// The region in which discovery stands.
 const DISCOVERY_REGION: u16 = 0;
 
+/// What the simulation keeps of discovery.
+pub(super) struct ControlSide {
+    pub(super) discovery: Discovery,
+    /// The entries as they are, published or not.
+    entries: Vec<Backend>,
+    /// Changes that discovery has not noticed, the oldest first.
+    unnoticed: VecDeque<Backend>,
+    /// When the first change happened that is noticed and not published.
+    noticed_since: Micros,
+    turn_scheduled: bool,
+    /// The latest call of each proxy.
+    outgoing: Vec<Call>,
+    replies: RefSlab<Option<Reply>>,
+}
+
+impl ControlSide {
+    /// A discovery that lists all backends as ready.
+    pub(super) fn new(scenario: &FleetScenario, topology: &Topology) -> Self {
+        let entries: Vec<Backend> = (0..).zip(&topology.machines).map(|(id, m)| entry(id, m)).collect();
+        let proxies = topology.proxies.len();
+        let no_call = |proxy| Call { proxy, serial: 0, after: None, wait: 0, continues: false };
+        Self {
+            discovery: Discovery::new(&scenario.discovery, entries.clone(), proxies),
+            entries,
+            unnoticed: VecDeque::new(),
+            noticed_since: 0,
+            turn_scheduled: false,
+            outgoing: (0..proxies as ProxyNumber).map(no_call).collect(),
+            replies: RefSlab::new(),
+        }
+    }
+}
+
+/// The entry of a backend that has run for long.
+fn entry(id: BackendId, machine: &Machine) -> Backend {
+    let &Machine { zone, kind, cell, .. } = machine;
+    Backend { id, zone, kind, cell, readiness: Readiness::Ready, started: None }
+}
+
 impl Simulation<'_> {
     // ---- Calls of proxies ----
 
@@ -24,16 +67,16 @@
             let timeout = outgoing.timeout - outgoing.call.wait + wait;
             let OutgoingCall { call, .. } = outgoing;
             self.queue.push(timeout, SimEvent::CallTimeout { proxy: call.proxy, serial: call.serial });
-            let received = self.discovery.receive(0, Call { wait, ..call });
+            let received = self.control.discovery.receive(0, Call { wait, ..call });
             self.after_received(received, Call { wait, ..call });
         }
-        self.discovery.traffic = Default::default();
+        self.control.discovery.traffic = Default::default();
     }
 
     pub(super) fn call_discovery(&mut self, outgoing: OutgoingCall) {
         let OutgoingCall { call, timeout } = outgoing;
         let Call { proxy, serial, .. } = call;
-        self.outgoing[usize::from(proxy)] = call;
+        self.control.outgoing[usize::from(proxy)] = call;
         let way = milliseconds(self.scenario.discovery.latency_ms);
         self.queue.push_after(way, SimEvent::CallArrives { proxy, serial });
         self.queue.push_after(timeout, SimEvent::CallTimeout { proxy, serial });
@@ -46,13 +89,13 @@
     }
 
     pub(super) fn on_call_arrives(&mut self, now: Micros, proxy: ProxyNumber, serial: u32) {
-        let call = self.outgoing[usize::from(proxy)];
+        let call = self.control.outgoing[usize::from(proxy)];
         if call.serial != serial || self.is_cut_off(proxy) {
             return;
         }
-        let received = self.discovery.receive(now, call);
+        let received = self.control.discovery.receive(now, call);
         self.after_received(received, call);
-        self.metrics.on_discovery(now, self.discovery.traffic);
+        self.metrics.on_discovery(now, self.control.discovery.traffic);
     }
 
     fn after_received(&mut self, received: Received, call: Call) {
@@ -67,40 +110,40 @@
     }
 
     fn schedule_turn(&mut self) {
-        if self.turn_scheduled {
+        if self.control.turn_scheduled {
             return;
         }
-        if let Some(span) = self.discovery.next_turn_takes() {
-            self.turn_scheduled = true;
+        if let Some(span) = self.control.discovery.next_turn_takes() {
+            self.control.turn_scheduled = true;
             self.queue.push_after(span, SimEvent::DiscoveryTurn);
         }
     }
 
     pub(super) fn on_discovery_turn(&mut self, now: Micros) {
-        self.turn_scheduled = false;
-        if let Some((received, call)) = self.discovery.take_turn(now) {
+        self.control.turn_scheduled = false;
+        if let Some((received, call)) = self.control.discovery.take_turn(now) {
             self.after_received(received, call);
         }
         self.schedule_turn();
-        self.metrics.on_discovery(now, self.discovery.traffic);
+        self.metrics.on_discovery(now, self.control.discovery.traffic);
     }
 
     pub(super) fn on_watch_over(&mut self, now: Micros, proxy: ProxyNumber, serial: u32) {
-        if let Some(reply) = self.discovery.end_wait(proxy, serial) {
+        if let Some(reply) = self.control.discovery.end_wait(proxy, serial) {
             self.send_reply(reply);
-            self.metrics.on_discovery(now, self.discovery.traffic);
+            self.metrics.on_discovery(now, self.control.discovery.traffic);
         }
     }
 
     fn send_reply(&mut self, reply: Reply) {
         let way = milliseconds(self.scenario.discovery.latency_ms);
-        let reply = self.replies.insert(Some(reply), 1);
+        let reply = self.control.replies.insert(Some(reply), 1);
         self.queue.push_after(way, SimEvent::ReplyArrives { reply });
     }
 
     pub(super) fn on_reply(&mut self, now: Micros, place: u32) {
-        let reply = self.replies[place].take();
-        self.replies.release(place);
+        let reply = self.control.replies[place].take();
+        self.control.replies.release(place);
         let Some(Reply { proxy, serial, answer }) = reply else { return };
         let target = &mut self.proxies[usize::from(proxy)];
         let lives = target.life == ProxyLife::Up;
@@ -137,28 +180,28 @@
 
     /// An entry has changed; discovery notices it after a while.
     fn change_entry(&mut self, backend: BackendId, readiness: Readiness, started: Option<Micros>) {
-        let entry = &mut self.entries[backend as usize];
+        let entry = &mut self.control.entries[backend as usize];
         (entry.readiness, entry.started) = (readiness, started);
-        self.unnoticed.push_back(*entry);
+        self.control.unnoticed.push_back(*entry);
         self.queue.push_after(milliseconds(self.scenario.discovery.notice_ms), SimEvent::Notice);
     }
 
     pub(super) fn on_notice(&mut self, now: Micros) {
-        let Some(entry) = self.unnoticed.pop_front() else { return };
-        if self.discovery.notice(entry) {
-            self.noticed_since = now - milliseconds(self.scenario.discovery.notice_ms);
+        let Some(entry) = self.control.unnoticed.pop_front() else { return };
+        if self.control.discovery.notice(entry) {
+            self.control.noticed_since = now - milliseconds(self.scenario.discovery.notice_ms);
             let interval = milliseconds(self.scenario.discovery.publish_interval_ms).max(1);
             self.queue.push_after(interval - now % interval, SimEvent::Publish);
         }
     }
 
     pub(super) fn on_publish(&mut self, now: Micros) {
-        let replies = self.discovery.publish();
+        let replies = self.control.discovery.publish();
         let living = self.proxies.iter().filter(|proxy| proxy.life == ProxyLife::Up).count();
-        self.metrics.on_publication(self.discovery.revision(), self.noticed_since, living);
+        self.metrics.on_publication(self.control.discovery.revision(), self.control.noticed_since, living);
         replies.into_iter().for_each(|reply| self.send_reply(reply));
         self.schedule_turn();
-        self.metrics.on_discovery(now, self.discovery.traffic);
+        self.metrics.on_discovery(now, self.control.discovery.traffic);
     }
 
     // ---- The timeline ----
@@ -168,7 +211,7 @@
         match change {
             Change::Drain(id) => {
                 if self.backends[id as usize].life == Life::Up {
-                    self.change_entry(id, Readiness::Draining, self.entries[id as usize].started);
+                    self.change_entry(id, Readiness::Draining, self.control.entries[id as usize].started);
                 }
             }
             Change::StopBackend(id, life) => {
@@ -181,21 +224,21 @@
             Change::Hang(id) => self.backends[id as usize].hung = true,
             Change::Resume(id) => self.resume_backend(now, id),
             Change::Republish(id) => {
-                let Backend { readiness, started, .. } = self.entries[id as usize];
+                let Backend { readiness, started, .. } = self.control.entries[id as usize];
                 self.change_entry(id, readiness, started);
             }
             Change::StopProxy(proxy, life) => self.stop_proxy(now, proxy, life),
             Change::StartProxy(proxy) => self.start_proxy(now, proxy),
             Change::Partition(parted) => self.partitioned = parted,
-            Change::DiscoveryUp(true) => self.discovery.come_back(),
+            Change::DiscoveryUp(true) => self.control.discovery.come_back(),
             Change::DiscoveryUp(false) => {
-                self.discovery.go_down().into_iter().for_each(|reply| self.send_reply(reply));
-                self.metrics.on_discovery(now, self.discovery.traffic);
+                self.control.discovery.go_down().into_iter().for_each(|reply| self.send_reply(reply));
+                self.metrics.on_discovery(now, self.control.discovery.traffic);
             }
-            Change::SilenceWatch(proxy) => self.discovery.silence(proxy),
+            Change::SilenceWatch(proxy) => self.control.discovery.silence(proxy),
             Change::Surge(number) => self.begin_surge(now, number),
-            Change::Shift(shift, true) => self.front.shifts.push(shift),
-            Change::Shift(shift, false) => self.front.shifts.retain(|&other| other != shift),
+            Change::Shift(shift, true) => self.clients.front.shifts.push(shift),
+            Change::Shift(shift, false) => self.clients.front.shifts.retain(|&other| other != shift),
         }
     }
 
@@ -239,7 +282,7 @@
         let Ok(policy) = (self.factory)(settings, seed, now) else { return };
         (target.life, target.policy) = (ProxyLife::Up, policy);
         target.watcher.restart();
-        let list = target.held_list(self.discovery.list());
+        let list = target.held_list(self.control.discovery.list());
         self.begin_policy(proxy, &list);
         self.queue.push(now, SimEvent::FrontNotices { proxy });
     }
@@ -251,6 +294,6 @@
 
     pub(super) fn on_front_notices(&mut self, proxy: ProxyNumber) {
         let alive = self.proxies[usize::from(proxy)].life == ProxyLife::Up;
-        self.front.admit(self.topology, proxy, alive);
+        self.clients.front.admit(self.topology, proxy, alive);
     }
 }
--- a/lab/src/fleet/simulation/mod.rs
+++ b/lab/src/fleet/simulation/mod.rs
@@ -8,8 +8,8 @@
 mod control;
 
 use super::backend::{ColdStart, EmulatedBackend};
-use super::client::{Allowances, ArrivalStream, ClientCall, Demand, Front, RetryBehavior};
-use super::discovery::{Call, Discovery, ProxyNumber, Reply};
+use super::client::Demand;
+use super::discovery::ProxyNumber;
 use super::events::EventQueue;
 use super::faults::Plan;
 use super::metrics::{Metrics, RunFigures};
@@ -21,14 +21,15 @@
 use super::rules::{Allowed, RuleChecker};
 use super::scenario::{FleetScenario, milliseconds, seconds};
 use super::slab::RefSlab;
-use super::topology::{Latencies, Topology};
+use super::topology::{Latencies, Machine, Topology};
+use clients::ClientSide;
+use control::ControlSide;
 use indicatif::ProgressBar;
 use rand::Rng;
 use rand::rngs::SmallRng;
-use std::collections::VecDeque;
 use tillerproxy::api::{
-    Action, Backend, Event, Micros, Permissions, Readiness, ReportFields, RequestId, Safety, Settings,
-    SettingsError, Tenant,
+    Action, Event, Micros, Permissions, Readiness, ReportFields, RequestId, Safety, Settings, SettingsError,
+    Tenant,
 };
 
 /// How often the progress bar moves, in virtual time.
@@ -40,8 +41,8 @@
 /// Positions of the values in a load report (`backend.rs`).
 const REPORT_FIELDS: ReportFields = ReportFields { active: Some(0), waiting: Some(1), avg_ms: Some(2) };
 
-/// Something that happens at a point in virtual time. Requests, attempts, calls and replies are named by their
-/// place in the simulation's tables, and the event counts as a reference to it.
+/// Something that happens at a point in virtual time. Requests, attempts, calls and replies are named by
+/// their place in the simulation's tables, and the event counts as a reference to it.
 #[derive(Clone, Copy, Debug)]
 enum SimEvent {
     /// The next call of an arrival stream.
@@ -96,14 +97,7 @@
     settings: Settings,
     queue: EventQueue<SimEvent>,
     latencies: Latencies,
-    // Clients.
-    demand: Demand,
-    allowances: Allowances,
-    streams: Vec<ArrivalStream>,
-    front: Front,
-    retries: RetryBehavior,
-    calls: RefSlab<ClientCall>,
-    // Proxies and backends.
+    clients: ClientSide,
     proxies: Vec<HollowProxy>,
     proxy_seeds: SmallRng,
     backends: Vec<EmulatedBackend>,
@@ -115,18 +109,7 @@
     /// Reused by every call of a policy.
     actions: Vec<Action>,
     partitioned: bool,
-    // Discovery.
-    discovery: Discovery,
-    /// The entries as they are, published or not.
-    entries: Vec<Backend>,
-    unnoticed: VecDeque<Backend>,
-    /// When the first change happened that is noticed and not published.
-    noticed_since: Micros,
-    turn_scheduled: bool,
-    /// The latest call of each proxy.
-    outgoing: Vec<Call>,
-    replies: RefSlab<Option<Reply>>,
-    // Measurement.
+    control: ControlSide,
     checker: RuleChecker,
     metrics: Metrics,
     events: u64,
@@ -175,19 +158,30 @@
     }
 }
 
-/// The entry of a backend that has run for long.
-fn entry(topology: &Topology, id: u32) -> Backend {
-    let machine = topology.machines[id as usize];
-    Backend {
-        id,
-        zone: machine.zone,
-        kind: machine.kind,
-        cell: machine.cell,
-        readiness: Readiness::Ready,
-        started: None,
+fn cold_start(scenario: &FleetScenario) -> ColdStart {
+    let safety = &scenario.safety;
+    ColdStart {
+        from: safety.cold_from,
+        time: seconds(safety.cold_time_s),
+        fall_multiple: safety.fall_multiple,
+        fall_time: seconds(safety.fall_time_s),
+        mean_work: milliseconds(scenario.mean_work_ms()) as f64,
     }
 }
 
+fn allowed(scenario: &FleetScenario) -> Allowed {
+    Allowed {
+        max_attempts: scenario.permissions.max_attempts,
+        second_copies: scenario.permissions.second_copies,
+        drain_grace: seconds(scenario.safety.drain_grace_s),
+    }
+}
+
+fn metrics(scenario: &FleetScenario, topology: &Topology) -> Metrics {
+    let (duration, warmup) = (seconds(scenario.duration_s), seconds(scenario.warmup_s));
+    Metrics::new(duration, warmup, scenario.classes.len(), topology.proxies.len())
+}
+
 impl<'a> Simulation<'a> {
     /// A fleet whose proxies all hold the whole list, before its first request.
     ///
@@ -201,61 +195,31 @@
         seed: u64,
     ) -> Result<Self, SettingsError> {
         let demand = Demand::new(scenario, topology);
-        let entries: Vec<Backend> =
-            (0..topology.machines.len() as u32).map(|id| entry(topology, id)).collect();
-        let queue_limit = scenario.backends.queue;
-        let safety = &scenario.safety;
-        let duration = seconds(scenario.duration_s);
-        let proxies = topology.proxies.len();
-        let allowed = Allowed {
-            max_attempts: scenario.permissions.max_attempts,
-            second_copies: scenario.permissions.second_copies,
-            drain_grace: seconds(safety.drain_grace_s),
-        };
         let settings = settings(scenario, topology, &demand);
+        let queue_limit = scenario.backends.queue;
+        let backend = |&machine: &Machine| EmulatedBackend::new(machine, queue_limit);
         let mut simulation = Self {
             scenario,
             factory,
             topology,
             plan,
             seed,
-            allowances: Allowances::new(settings.tenants.iter().map(|tenant| tenant.allowance_per_s)),
-            settings,
             queue: EventQueue::new(),
             latencies: Latencies::new(topology, &scenario.network, seed),
-            streams: vec![ArrivalStream::new(demand.rate, 0, duration, None, seed, 0)],
-            demand,
-            front: Front::new(topology),
-            retries: RetryBehavior::new(&scenario.clients, seed),
-            calls: RefSlab::new(),
-            proxies: Vec::with_capacity(proxies),
+            clients: ClientSide::new(scenario, topology, demand, &settings, seed),
+            settings,
+            proxies: Vec::with_capacity(topology.proxies.len()),
             proxy_seeds: stream(seed, Stream::Proxies, 0),
-            backends: topology
-                .machines
-                .iter()
-                .map(|&machine| EmulatedBackend::new(machine, queue_limit))
-                .collect(),
-            cold: ColdStart {
-                from: safety.cold_from,
-                time: seconds(safety.cold_time_s),
-                fall_multiple: safety.fall_multiple,
-                fall_time: seconds(safety.fall_time_s),
-                mean_work: milliseconds(scenario.mean_work_ms()) as f64,
-            },
+            backends: topology.machines.iter().map(backend).collect(),
+            cold: cold_start(scenario),
             requests: RefSlab::new(),
             places: Vec::new(),
             attempts: RefSlab::new(),
             actions: Vec::new(),
             partitioned: false,
-            discovery: Discovery::new(&scenario.discovery, entries.clone(), proxies),
-            entries,
-            unnoticed: VecDeque::new(),
-            noticed_since: 0,
-            turn_scheduled: false,
-            outgoing: Vec::with_capacity(proxies),
-            replies: RefSlab::new(),
-            checker: RuleChecker::new(allowed),
-            metrics: Metrics::new(duration, seconds(scenario.warmup_s), scenario.classes.len(), proxies),
+            control: ControlSide::new(scenario, topology),
+            checker: RuleChecker::new(allowed(scenario)),
+            metrics: metrics(scenario, topology),
             events: 0,
         };
         simulation.start_proxies()?;
@@ -264,13 +228,13 @@
     }
 
     fn start_proxies(&mut self) -> Result<(), SettingsError> {
-        let list = self.entries.clone();
+        let list = self.control.discovery.list().to_vec();
         let told = ToldBackend { readiness: Readiness::Ready, started: None, barred_at: None };
         for (number, place) in (0..).zip(&self.topology.proxies) {
             let settings = Settings { me: u32::from(number), zone: place.zone, ..self.settings.clone() };
             let policy = (self.factory)(settings, self.proxy_seeds.random(), 0)?;
             let mut watcher = Watcher::new(number, self.settings.balancers);
-            watcher.revision = Some(self.discovery.revision());
+            watcher.revision = Some(self.control.discovery.revision());
             self.proxies.push(HollowProxy {
                 zone: place.zone,
                 life: ProxyLife::Up,
@@ -279,7 +243,6 @@
                 watcher,
                 told: vec![told; list.len()],
             });
-            self.outgoing.push(Call { proxy: number, serial: 0, after: None, wait: 0, continues: false });
             self.begin_policy(number, &list);
         }
         Ok(())
@@ -392,7 +355,7 @@
         let TrackedRequest { id, call, .. } = self.requests[request];
         if self.requests.release(request) {
             self.places[id as usize] = NO_PLACE;
-            self.calls.release(call);
+            self.clients.calls.release(call);
         }
     }
 
--- a/lab/tests/fleet/plays.rs
+++ b/lab/tests/fleet/plays.rs
@@ -14,7 +14,8 @@
     play(scenario, &ALL, seed, true).expect("a play")
 }
 
-/// Plays an event under all policies. Policies that obey membership keep rules 1 to 3; all serve most requests.
+/// Plays an event under all policies. Policies that obey membership keep rules 1 to 3; all serve most
+/// requests.
 fn play_event(event: &str) -> FleetReport {
     let report = play_all(&small_with(event), 1);
     for policy in &report.policies {
--- a/lab/tests/fleet/rules.rs
+++ b/lab/tests/fleet/rules.rs
@@ -171,8 +171,8 @@
     assert_eq!((checker.counts.cold_backends.fallen, checker.counts.broken()[3]), (2, 1));
 }
 
-/// The broken parts of rule 2 when a keyed request goes from a backend of zone 0 and cell 0, sent at 0, to another
-/// at `now`: outside its window, outside its group.
+/// The broken parts of rule 2 when a keyed request goes from a backend of zone 0 and cell 0, sent at 0, to
+/// another at `now`: outside its window, outside its group.
 fn keyed_repeat(group: DedupGroup, now: Micros, zone: u16, cell: u16, state: AttemptState) -> (u64, u64) {
     let effect = Effect::Keyed { group, ttl: 1_000 };
     let class = Class { aim: 1, aim_stretch: 0.0, deadline: 1, worth: 1.0, late_worth: 0.0, effect };
