--- a/lab/src/fleet/table.rs
+++ b/lab/src/fleet/table.rs
@@ -5,7 +5,7 @@
 
 /// Width of the table's first column and of the others.
 const LABEL_WIDTH: usize = 44;
-const COLUMN_WIDTH: usize = 14;
+const COLUMN_WIDTH: usize = 20;
 
 impl FleetReport {
     fn row(
@@ -16,7 +16,7 @@
     ) -> fmt::Result {
         write!(f, "{label:<LABEL_WIDTH$}")?;
         for report in &self.policies {
-            write!(f, "{:>COLUMN_WIDTH$}", value(report))?;
+            write!(f, " {:>COLUMN_WIDTH$}", value(report))?;
         }
         writeln!(f)
     }
