Ship small scenarios of a lost rack, parted regions and a tenant's surge

The scenario format had these events and no scenario showed them. A result's commit is now read before the play and not after it, when the checkout may have moved on.

--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -72,9 +72,10 @@
 pub fn run(options: &FleetOptions) -> Result<(), LabError> {
     let scenario = read_scenario(options)?;
     let seed = options.common.seed;
+    // Before the play: the checkout may have moved on when it ends.
+    let run = options.common.run_info("fleet");
     let measured = play(&scenario, &options.policies, seed, options.common.quiet)?;
     println!("{measured}");
-    let run = options.common.run_info("fleet");
     if let Some(path) = &options.common.json {
         RunResult { run, scenario: &scenario, measured: &measured }.write(path)?;
     }
--- a/lab/tests/fleet/plays.rs
+++ b/lab/tests/fleet/plays.rs
@@ -191,7 +191,7 @@
     let name = |path: &PathBuf| path.file_name().expect("a name").to_string_lossy().into_owned();
     let mut files: Vec<_> = files.filter(|path| name(path).starts_with("fleet-")).collect();
     files.sort();
-    assert_eq!(files.len(), 10);
+    assert_eq!(files.len(), 13);
     for path in &files {
         let mut scenario: FleetScenario = scenario::read(path).expect("a good scenario");
         if name(path).ends_with("-small.toml") {
