Use the standard terms in the emulated fleet's code

A few names still followed the withdrawn house style: what a proxy was "told" is now what it knows (`KnownBackend`), attempts "held" are in flight, a "silent" watch is unresponsive, and closures named `part` say fraction or percentage. No behavior changes.

--- a/lab/src/fleet/backend.rs
+++ b/lab/src/fleet/backend.rs
@@ -151,7 +151,7 @@
 
     /// Attempts that it holds, in work or waiting.
     #[must_use]
-    pub fn held(&self) -> u32 {
+    pub fn in_flight(&self) -> u32 {
         (self.working.len() + self.waiting.len()) as u32
     }
 
@@ -249,9 +249,9 @@
         self.hung = false;
         self.cold = None;
         self.stalled.clear();
-        let mut held = std::mem::take(&mut self.working);
-        held.extend(self.waiting.drain(..));
-        held
+        let mut in_flight = std::mem::take(&mut self.working);
+        in_flight.extend(self.waiting.drain(..));
+        in_flight
     }
 
     /// Its process starts, cold. One that fell over stays down.
--- a/lab/src/fleet/client.rs
+++ b/lab/src/fleet/client.rs
@@ -372,8 +372,8 @@
     #[must_use]
     pub fn leaves_at(&self, call: &ClientCall, class: &Class) -> Option<Micros> {
         let leaves = call.leave < self.settings.leaves;
-        let part = call.leave / self.settings.leaves;
-        leaves.then(|| call.born + (milliseconds(class.aim_ms) as f64 * part) as Micros)
+        let fraction = call.leave / self.settings.leaves;
+        leaves.then(|| call.born + (milliseconds(class.aim_ms) as f64 * fraction) as Micros)
     }
 }
 
--- a/lab/src/fleet/discovery.rs
+++ b/lab/src/fleet/discovery.rs
@@ -74,7 +74,7 @@
     serial: u32,
     after: Revision,
     /// Nothing is ever answered on it.
-    silent: bool,
+    unresponsive: bool,
 }
 
 /// What waits for its turn.
@@ -199,7 +199,8 @@
         if after != self.revision {
             return Received::Answered(self.answer(call.proxy, call.serial, Some(after)));
         }
-        self.watches[usize::from(call.proxy)] = Some(Watch { serial: call.serial, after, silent: false });
+        self.watches[usize::from(call.proxy)] =
+            Some(Watch { serial: call.serial, after, unresponsive: false });
         Received::Standing
     }
 
@@ -234,7 +235,7 @@
     /// Answers a standing watch with what is newer than it holds.
     fn answer_watch(&mut self, proxy: ProxyNumber, serial: u32) -> Option<Reply> {
         let watch = &mut self.watches[usize::from(proxy)];
-        let after = watch.filter(|watch| watch.serial == serial && !watch.silent)?.after;
+        let after = watch.filter(|watch| watch.serial == serial && !watch.unresponsive)?.after;
         *watch = None;
         Some(self.answer(proxy, serial, Some(after)))
     }
@@ -336,10 +337,10 @@
         self.up = true;
     }
 
-    /// The proxy's watch falls silent: nothing is answered on it any more.
-    pub fn silence(&mut self, proxy: ProxyNumber) {
+    /// The proxy's watch becomes unresponsive: nothing is answered on it any more.
+    pub fn mute_watch(&mut self, proxy: ProxyNumber) {
         if let Some(watch) = &mut self.watches[usize::from(proxy)] {
-            watch.silent = true;
+            watch.unresponsive = true;
         }
     }
 }
--- a/lab/src/fleet/faults.rs
+++ b/lab/src/fleet/faults.rs
@@ -15,7 +15,7 @@
 /// One change to the fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Change {
-    /// A backend drains: discovery is told.
+    /// A backend drains: discovery will notice.
     Drain(BackendId),
     /// A backend's process or machine goes.
     StopBackend(BackendId, Life),
@@ -37,8 +37,8 @@
     Partition(bool),
     /// Discovery goes down or comes back.
     DiscoveryUp(bool),
-    /// A proxy's watch falls silent.
-    SilenceWatch(ProxyNumber),
+    /// A proxy's watch becomes unresponsive.
+    MuteWatch(ProxyNumber),
     /// A tenant's surge begins: its number among the surges.
     Surge(u32),
     /// A traffic shift begins or ends.
@@ -105,7 +105,7 @@
             }
             TimelineEvent::DiscoverySilent { fraction, .. } => {
                 for proxy in chosen(topology.proxies.len(), fraction, random) {
-                    self.push(at, Change::SilenceWatch(proxy as ProxyNumber));
+                    self.push(at, Change::MuteWatch(proxy as ProxyNumber));
                 }
             }
             TimelineEvent::ConfigBurst { entries, over_s, .. } => {
--- a/lab/src/fleet/metrics.rs
+++ b/lab/src/fleet/metrics.rs
@@ -88,9 +88,9 @@
 }
 
 impl Publication {
-    /// When this part of the proxies knew, in seconds since it happened.
-    fn known_to(&self, part: f64) -> Option<f64> {
-        let needed = ((self.expected as f64 * part).ceil() as usize).max(1);
+    /// When this fraction of the proxies knew, in seconds since it happened.
+    fn known_to(&self, fraction: f64) -> Option<f64> {
+        let needed = ((self.expected as f64 * fraction).ceil() as usize).max(1);
         let at = self.informed.get(needed - 1)?;
         Some((at - self.happened) as f64 / 1e6)
     }
@@ -188,8 +188,8 @@
     }
 
     fn spread(&self) -> ChangeSpread {
-        let known = |part: f64| {
-            let mut times: Vec<f64> = self.publications.iter().filter_map(|p| p.known_to(part)).collect();
+        let known = |fraction: f64| {
+            let mut times: Vec<f64> = self.publications.iter().filter_map(|p| p.known_to(fraction)).collect();
             times.sort_unstable_by(f64::total_cmp);
             times
         };
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! What is not emulated: processor time of the proxies, single connections and their setup, streamed answers,
 //! probes, services (every backend serves every request), and the rule that a proxy which has not asked for
-//! long counts as informed: rules 3 and 4 go by what discovery has in fact told it.
+//! long counts as informed: rules 3 and 4 go by what discovery has in fact sent it.
 
 pub mod backend;
 pub mod client;
--- a/lab/src/fleet/plot.rs
+++ b/lab/src/fleet/plot.rs
@@ -28,16 +28,16 @@
     Chart { title: "Latency, 99th percentile, ms", value: |second| second.p99_ms },
 ];
 
-fn part(count: u64, second: &SecondReport) -> f64 {
+fn fraction(count: u64, second: &SecondReport) -> f64 {
     count as f64 / second.calls.offered.max(1) as f64
 }
 
 fn in_time(second: &SecondReport) -> f64 {
-    part(second.calls.in_time, second)
+    fraction(second.calls.in_time, second)
 }
 
 fn not_served(second: &SecondReport) -> f64 {
-    part(second.calls.refused + second.calls.failed + second.calls.timed_out, second)
+    fraction(second.calls.refused + second.calls.failed + second.calls.timed_out, second)
 }
 
 /// Draws the time series of all policies.
--- a/lab/src/fleet/policy.rs
+++ b/lab/src/fleet/policy.rs
@@ -35,12 +35,12 @@
 /// The true state of the backends, for baselines that know it.
 pub trait TrueState {
     /// Attempts that a backend holds, in work or waiting.
-    fn held(&self, backend: BackendId) -> u32;
+    fn in_flight(&self, backend: BackendId) -> u32;
 }
 
 impl TrueState for Vec<EmulatedBackend> {
-    fn held(&self, backend: BackendId) -> u32 {
-        self[backend as usize].held()
+    fn in_flight(&self, backend: BackendId) -> u32 {
+        self[backend as usize].in_flight()
     }
 }
 
@@ -168,7 +168,7 @@
         let mut best = self.ready[self.random.usize(0..count)];
         for _ in 1..self.choices {
             let other = self.ready[self.random.usize(0..count)];
-            if truth.held(other) < truth.held(best) {
+            if truth.in_flight(other) < truth.in_flight(best) {
                 best = other;
             }
         }
--- a/lab/src/fleet/proxy.rs
+++ b/lab/src/fleet/proxy.rs
@@ -1,5 +1,5 @@
-//! A hollow proxy: the policy, what it was told, and how it follows discovery. Everything else of a real
-//! proxy is emulated by the simulation.
+//! A hollow proxy: the policy, what it knows of backends, and how it follows discovery. Everything else of a
+//! real proxy is emulated by the simulation.
 
 use super::discovery::{Call, ProxyNumber, Revision};
 use super::policy::Policy;
@@ -13,13 +13,13 @@
 const FIRST_WAIT: Micros = 250_000;
 const CALL_TIMEOUT: Micros = 3_500_000;
 /// How late the answer to a standing watch may be.
-const SILENT_AFTER: Micros = 250_000;
+const ANSWER_LATENESS: Micros = 250_000;
 /// The golden ratio's fraction spreads the proxies' waits evenly.
 const GOLDEN: f64 = 0.618_033_988_749_894_9;
 
-/// What a proxy was told of a backend.
+/// What a proxy knows of a backend.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ToldBackend {
+pub struct KnownBackend {
     /// Whether it may be sent to.
     pub readiness: Readiness,
     /// When its process last started.
@@ -28,7 +28,7 @@
     pub barred_at: Option<Micros>,
 }
 
-impl Default for ToldBackend {
+impl Default for KnownBackend {
     fn default() -> Self {
         Self { readiness: Readiness::Gone, started: None, barred_at: None }
     }
@@ -85,7 +85,7 @@
         let continues = self.watching && self.revision.is_some();
         let (wait, timeout) = match (self.revision, continues) {
             (None, _) => (0, CALL_TIMEOUT),
-            (Some(_), true) => (self.wait, self.wait + SILENT_AFTER),
+            (Some(_), true) => (self.wait, self.wait + ANSWER_LATENESS),
             (Some(_), false) => (FIRST_WAIT, CALL_TIMEOUT),
         };
         let call = Call { proxy: self.proxy, serial: self.serial, after: self.revision, wait, continues };
@@ -142,39 +142,41 @@
     pub policy: Box<dyn Policy>,
     /// How it follows discovery.
     pub watcher: Watcher,
-    /// What it was told, by backend.
-    pub told: Vec<ToldBackend>,
+    /// What it knows of each backend.
+    pub known: Vec<KnownBackend>,
 }
 
 impl HollowProxy {
     /// Keeps what a list tells.
     pub fn learn(&mut self, now: Micros, complete: bool, entries: &[Backend]) {
         if complete {
-            let absent = |told: &mut ToldBackend| {
-                told.readiness = Readiness::Gone;
+            let absent = |known: &mut KnownBackend| {
+                known.readiness = Readiness::Gone;
             };
-            self.told.iter_mut().for_each(absent);
+            self.known.iter_mut().for_each(absent);
         }
         for entry in entries {
-            let told = &mut self.told[entry.id as usize];
-            (told.readiness, told.started) = (entry.readiness, entry.started);
+            let known = &mut self.known[entry.id as usize];
+            (known.readiness, known.started) = (entry.readiness, entry.started);
         }
-        let bar = |told: &mut ToldBackend| {
-            let ready = told.readiness == Readiness::Ready;
-            told.barred_at = if ready { None } else { told.barred_at.or(Some(now)) };
+        let bar = |known: &mut KnownBackend| {
+            let ready = known.readiness == Readiness::Ready;
+            known.barred_at = if ready { None } else { known.barred_at.or(Some(now)) };
         };
         if complete {
-            self.told.iter_mut().for_each(bar);
+            self.known.iter_mut().for_each(bar);
         } else {
-            entries.iter().for_each(|entry| bar(&mut self.told[entry.id as usize]));
+            entries.iter().for_each(|entry| bar(&mut self.known[entry.id as usize]));
         }
     }
 
     /// The list that it holds, as a process that starts anew finds it.
     #[must_use]
-    pub fn held_list(&self, published: &[Backend]) -> Vec<Backend> {
-        let held = published.iter().zip(&self.told).filter(|(_, told)| told.readiness != Readiness::Gone);
-        held.map(|(entry, told)| Backend { readiness: told.readiness, started: told.started, ..*entry })
+    pub fn known_list(&self, published: &[Backend]) -> Vec<Backend> {
+        let listed =
+            published.iter().zip(&self.known).filter(|(_, known)| known.readiness != Readiness::Gone);
+        listed
+            .map(|(entry, known)| Backend { readiness: known.readiness, started: known.started, ..*entry })
             .collect()
     }
 }
--- a/lab/src/fleet/rules.rs
+++ b/lab/src/fleet/rules.rs
@@ -6,7 +6,7 @@
 //! 4. Proxies that were informed of a backend's start never make it fall over while it is cold.
 
 use super::backend::Fall;
-use super::proxy::ToldBackend;
+use super::proxy::KnownBackend;
 use super::request::{AttemptState, SentAttempt, TrackedRequest};
 use super::topology::Machine;
 use serde::Serialize;
@@ -121,21 +121,21 @@
         Self { allowed, counts: RuleCounts::default() }
     }
 
-    /// A request is about to be sent to a backend that the proxy was told this of.
+    /// A request is about to be sent to a backend that the proxy knows this of.
     pub fn on_send(
         &mut self,
         now: Micros,
         request: &TrackedRequest,
         class: &Class,
         to: &Machine,
-        told: &ToldBackend,
+        known: &KnownBackend,
         machine_of: impl Fn(&SentAttempt) -> Machine,
     ) {
         if request.answered {
             self.counts.final_answers.after_the_end += 1;
         }
         self.check_repeat(now, request, class, to, machine_of);
-        let Some(barred_at) = told.barred_at else { return };
+        let Some(barred_at) = known.barred_at else { return };
         let drains = &mut self.counts.drains;
         drains.sends_to_barred += 1;
         drains.after_grace += u64::from(now > barred_at + self.allowed.drain_grace);
--- a/lab/src/fleet/scenario/timeline.rs
+++ b/lab/src/fleet/scenario/timeline.rs
@@ -60,7 +60,7 @@
         /// For how long.
         for_s: f64,
     },
-    /// Standing watches fall silent; new calls are answered.
+    /// Standing watches become unresponsive; new calls are answered.
     DiscoverySilent {
         /// When.
         at_s: f64,
--- a/lab/src/fleet/simulation/attempts.rs
+++ b/lab/src/fleet/simulation/attempts.rs
@@ -16,10 +16,10 @@
         let request = self.requests[place];
         let proxy = &self.proxies[usize::from(request.proxy)];
         let class = &self.settings.classes[usize::from(request.class)];
-        let (machines, told) = (&self.topology.machines, proxy.told[backend as usize]);
+        let (machines, known) = (&self.topology.machines, proxy.known[backend as usize]);
         let machine_of = |attempt: &SentAttempt| machines[attempt.backend as usize];
         let to = machines[backend as usize];
-        self.checker.on_send(now, &request, class, &to, &told, machine_of);
+        self.checker.on_send(now, &request, class, &to, &known, machine_of);
         let (zone, incarnation) = (proxy.zone, proxy.incarnation);
         let work = self.clients.calls[request.call].work;
         let attempt = Attempt {
@@ -83,9 +83,9 @@
         if self.is_abandoned(place) && self.scenario.backends.skips_abandoned {
             return self.release_attempt(place);
         }
-        let told = self.proxies[usize::from(proxy)].told[backend as usize];
+        let known = self.proxies[usize::from(proxy)].known[backend as usize];
         let target = &mut self.backends[backend as usize];
-        let informed = target.started.is_some() && told.started == target.started;
+        let informed = target.started.is_some() && known.started == target.started;
         let fall = target.weigh(now, work, informed, &self.cold);
         let admission = target.arrive(now, place, work, &self.cold);
         match admission {
@@ -146,8 +146,8 @@
     }
 
     /// A backend's attempts end with its process: reset where the machine tells so, else without a word.
-    pub(super) fn lose_attempts(&mut self, held: Vec<u32>, life: Life) {
-        for place in held {
+    pub(super) fn lose_attempts(&mut self, lost: Vec<u32>, life: Life) {
+        for place in lost {
             self.attempts[place].lost = true;
             if life == Life::Dead {
                 self.send_back(place, Outcome::Reset);
--- a/lab/src/fleet/simulation/clients.rs
+++ b/lab/src/fleet/simulation/clients.rs
@@ -259,7 +259,7 @@
 
     /// A proxy's process died: its clients' connections are reset.
     pub(super) fn reset_clients_of(&mut self, now: Micros, proxy: u16) {
-        let held: Vec<u32> = self
+        let lost: Vec<u32> = self
             .requests
             .places()
             .filter(|&place| {
@@ -267,7 +267,7 @@
                 request.proxy == proxy && request.taken && !request.answered && !request.client_gone
             })
             .collect();
-        for place in held {
+        for place in lost {
             let back = self.client_latency();
             self.end_try(place, now + back, TryEnd::Failed);
         }
--- a/lab/src/fleet/simulation/control.rs
+++ b/lab/src/fleet/simulation/control.rs
@@ -235,7 +235,7 @@
                 self.control.discovery.go_down().into_iter().for_each(|reply| self.send_reply(reply));
                 self.metrics.on_discovery(now, self.control.discovery.traffic);
             }
-            Change::SilenceWatch(proxy) => self.control.discovery.silence(proxy),
+            Change::MuteWatch(proxy) => self.control.discovery.mute_watch(proxy),
             Change::Surge(number) => self.begin_surge(now, number),
             Change::Shift(shift, true) => self.clients.front.shifts.push(shift),
             Change::Shift(shift, false) => self.clients.front.shifts.retain(|&other| other != shift),
@@ -244,8 +244,8 @@
 
     pub(super) fn stop_backend(&mut self, now: Micros, id: BackendId, life: Life) {
         tracing::trace!(id, now, ?life, "a backend stops");
-        let held = self.backends[id as usize].stop(life);
-        self.lose_attempts(held, life);
+        let lost = self.backends[id as usize].stop(life);
+        self.lose_attempts(lost, life);
         self.change_entry(id, Readiness::Gone, None);
     }
 
@@ -282,7 +282,7 @@
         let Ok(policy) = (self.factory)(settings, seed, now) else { return };
         (target.life, target.policy) = (ProxyLife::Up, policy);
         target.watcher.restart();
-        let list = target.held_list(self.control.discovery.list());
+        let list = target.known_list(self.control.discovery.list());
         self.begin_policy(proxy, &list);
         self.queue.push(now, SimEvent::FrontNotices { proxy });
     }
--- a/lab/src/fleet/simulation/mod.rs
+++ b/lab/src/fleet/simulation/mod.rs
@@ -14,7 +14,7 @@
 use super::faults::Plan;
 use super::metrics::{Metrics, RunFigures};
 use super::policy::{PolicyFactory, TrueState};
-use super::proxy::{HollowProxy, ProxyLife, ToldBackend, Watcher};
+use super::proxy::{HollowProxy, KnownBackend, ProxyLife, Watcher};
 use super::random::{Stream, stream};
 use super::report::PolicyReport;
 use super::request::{Attempt, TrackedRequest};
@@ -229,7 +229,7 @@
 
     fn start_proxies(&mut self) -> Result<(), SettingsError> {
         let list = self.control.discovery.list().to_vec();
-        let told = ToldBackend { readiness: Readiness::Ready, started: None, barred_at: None };
+        let known = KnownBackend { readiness: Readiness::Ready, started: None, barred_at: None };
         for (number, place) in (0..).zip(&self.topology.proxies) {
             let settings = Settings { me: u32::from(number), zone: place.zone, ..self.settings.clone() };
             let policy = (self.factory)(settings, self.proxy_seeds.random(), 0)?;
@@ -241,7 +241,7 @@
                 incarnation: 1,
                 policy,
                 watcher,
-                told: vec![told; list.len()],
+                known: vec![known; list.len()],
             });
             self.begin_policy(number, &list);
         }
--- a/lab/src/fleet/table.rs
+++ b/lab/src/fleet/table.rs
@@ -22,16 +22,16 @@
     }
 
     fn write_service(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let part = |count: u64, report: &PolicyReport| {
+        let percentage = |count: u64, report: &PolicyReport| {
             let offered = report.calls.offered.max(1);
             format!("{:.3}%", count as f64 * 100.0 / offered as f64)
         };
         self.row(f, "worth in time", |r| format!("{:.4}", r.worth_in_time))?;
         self.row(f, "calls counted", |r| r.calls.offered.to_string())?;
-        self.row(f, "  late", |r| part(r.calls.late, r))?;
-        self.row(f, "  refused", |r| part(r.calls.refused, r))?;
-        self.row(f, "  failed", |r| part(r.calls.failed, r))?;
-        self.row(f, "  without an answer", |r| part(r.calls.timed_out, r))?;
+        self.row(f, "  late", |r| percentage(r.calls.late, r))?;
+        self.row(f, "  refused", |r| percentage(r.calls.refused, r))?;
+        self.row(f, "  failed", |r| percentage(r.calls.failed, r))?;
+        self.row(f, "  without an answer", |r| percentage(r.calls.timed_out, r))?;
         self.row(f, "latency p50, ms", |r| format!("{:.1}", r.latency.p50_ms))?;
         self.row(f, "latency p99, ms", |r| format!("{:.1}", r.latency.p99_ms))?;
         self.row(f, "latency p99.9, ms", |r| format!("{:.1}", r.latency.p999_ms))
--- a/lab/tests/fleet/backend.rs
+++ b/lab/tests/fleet/backend.rs
@@ -20,7 +20,7 @@
     assert_eq!(backend.arrive(0, 2, 10.0 * MS, &COLD), Admission::Started(5_000));
     assert_eq!(backend.arrive(0, 3, 50.0 * MS, &COLD), Admission::Queued);
     assert_eq!(backend.arrive(0, 4, 50.0 * MS, &COLD), Admission::Full);
-    assert_eq!((backend.held(), backend.arrived), (3, 4));
+    assert_eq!((backend.in_flight(), backend.arrived), (3, 4));
     assert_eq!(backend.next_waiting(), None, "both cores are busy");
     assert!(backend.finish(2, 5_000));
     assert_eq!(backend.next_waiting(), Some(3));
--- a/lab/tests/fleet/discovery.rs
+++ b/lab/tests/fleet/discovery.rs
@@ -84,7 +84,7 @@
 fn nothing_is_answered_on_a_silent_watch() {
     let mut discovery = discovery(&scenario::Discovery::default());
     discovery.receive(0, call(0, Some(1), true));
-    discovery.silence(0);
+    discovery.mute_watch(0);
     discovery.notice(entry(1, Readiness::Gone));
     assert!(discovery.publish().is_empty());
     assert!(discovery.end_wait(0, 1).is_none());
--- a/lab/tests/fleet/rules.rs
+++ b/lab/tests/fleet/rules.rs
@@ -6,7 +6,7 @@
 use tillerproxy_lab::fleet::backend::Fall;
 use tillerproxy_lab::fleet::faults::Plan;
 use tillerproxy_lab::fleet::policy::{Policy, TrueState};
-use tillerproxy_lab::fleet::proxy::ToldBackend;
+use tillerproxy_lab::fleet::proxy::KnownBackend;
 use tillerproxy_lab::fleet::report::PolicyReport;
 use tillerproxy_lab::fleet::request::{AttemptState, SentAttempt, TrackedRequest};
 use tillerproxy_lab::fleet::rules::{Allowed, RuleChecker};
@@ -181,7 +181,7 @@
     request.add_attempt(SentAttempt { backend: 0, sent_at: 0, state, place: 0 });
     let allowed = Allowed { max_attempts: 3, second_copies: false, drain_grace: 0 };
     let mut checker = RuleChecker::new(allowed);
-    checker.on_send(now, &request, &class, &at(zone, cell), &ToldBackend::default(), |_| at(0, 0));
+    checker.on_send(now, &request, &class, &at(zone, cell), &KnownBackend::default(), |_| at(0, 0));
     (checker.counts.effects.outside_window, checker.counts.effects.outside_group)
 }
 
