Give each watch one turn where discovery's answers are bounded

With `answers_per_s` a watch that waited for its turn got a further one at each publication; the first answer told it of all, and the others took their time for nothing. A watch now waits for one turn at a time.

--- a/lab/src/fleet/discovery.rs
+++ b/lab/src/fleet/discovery.rs
@@ -75,6 +75,8 @@
     after: Revision,
     /// Nothing is ever answered on it.
     unresponsive: bool,
+    /// Its answer waits for its turn.
+    has_turn: bool,
 }
 
 /// What waits for its turn.
@@ -199,8 +201,8 @@
         if after != self.revision {
             return Received::Answered(self.answer(call.proxy, call.serial, Some(after)));
         }
-        self.watches[usize::from(call.proxy)] =
-            Some(Watch { serial: call.serial, after, unresponsive: false });
+        let watch = Watch { serial: call.serial, after, unresponsive: false, has_turn: false };
+        self.watches[usize::from(call.proxy)] = Some(watch);
         Received::Standing
     }
 
@@ -307,14 +309,25 @@
         if !self.up {
             return Vec::new();
         }
-        let standing: Vec<(ProxyNumber, u32)> = self.standing().collect();
         if self.answer_time > 0.0 {
-            self.turns.extend(standing.into_iter().map(|(proxy, serial)| Turn::Watch { proxy, serial }));
+            self.give_turns();
             return Vec::new();
         }
+        let standing: Vec<(ProxyNumber, u32)> = self.standing().collect();
         standing.into_iter().filter_map(|(proxy, serial)| self.answer_watch(proxy, serial)).collect()
     }
 
+    /// The answers of all standing watches wait for their turn, once each.
+    fn give_turns(&mut self) {
+        for (proxy, watch) in (0..).zip(&mut self.watches) {
+            let Some(watch) = watch.as_mut().filter(|watch| !watch.has_turn && !watch.unresponsive) else {
+                continue;
+            };
+            watch.has_turn = true;
+            self.turns.push_back(Turn::Watch { proxy, serial: watch.serial });
+        }
+    }
+
     fn standing(&self) -> impl Iterator<Item = (ProxyNumber, u32)> + '_ {
         (0..).zip(&self.watches).filter_map(|(proxy, watch)| watch.map(|watch| (proxy, watch.serial)))
     }
--- a/lab/tests/fleet/discovery.rs
+++ b/lab/tests/fleet/discovery.rs
@@ -90,6 +90,25 @@
     assert!(discovery.end_wait(0, 1).is_none());
 }
 
+#[test]
+fn answers_of_watches_take_turns_where_discovery_is_bounded() {
+    let settings = scenario::Discovery { answers_per_s: Some(100.0), ..Default::default() };
+    let mut discovery = discovery(&settings);
+    discovery.receive(0, call(0, Some(1), true));
+    discovery.receive(0, call(1, Some(1), true));
+    for id in [1, 2] {
+        discovery.notice(entry(id, Readiness::Gone));
+        assert!(discovery.publish().is_empty());
+    }
+    assert_eq!(discovery.next_turn_takes(), Some(10_000));
+    for proxy in [0, 1] {
+        let (received, _) = discovery.take_turn(0).expect("a watch has its turn");
+        let reply = answered(received);
+        assert_eq!((reply.proxy, list(&reply)), (proxy, (3, false, vec![1, 2])));
+    }
+    assert_eq!(discovery.next_turn_takes(), None, "one answer tells of both publications");
+}
+
 #[test]
 fn a_watcher_has_one_call_out_and_continues_its_watch_after_an_answer() {
     let mut watcher = Watcher::new(0, 3);
