--- a/lab/src/fleet/discovery.rs
+++ b/lab/src/fleet/discovery.rs
@@ -1,7 +1,8 @@
 //! The discovery that all proxies share: revisions of the list, watches, and calls that wait for their turn.
 //!
-//! Whole lists and calls that begin a watch are handled one after another; a watch that is continued stands at
-//! once. What is published goes to every standing watch. The simulation carries calls here and answers back.
+//! Whole lists and calls that begin a watch are handled one after another; a watch that is continued stands
+//! at once. What is published goes to every standing watch. The simulation carries calls here and answers
+//! back.
 
 use super::scenario::{self, milliseconds};
 use std::collections::VecDeque;
@@ -73,7 +74,9 @@
     serial: u32,
     after: Revision,
     /// Nothing is ever answered on it.
-    silent: bool,
+    unresponsive: bool,
+    /// Its answer waits for its turn.
+    has_turn: bool,
 }
 
 /// What waits for its turn.
@@ -198,12 +201,13 @@
         if after != self.revision {
             return Received::Answered(self.answer(call.proxy, call.serial, Some(after)));
         }
-        self.watches[usize::from(call.proxy)] = Some(Watch { serial: call.serial, after, silent: false });
+        let watch = Watch { serial: call.serial, after, unresponsive: false, has_turn: false };
+        self.watches[usize::from(call.proxy)] = Some(watch);
         Received::Standing
     }
 
-    /// Handles what waits for its turn next. A call that begins a watch and finds nothing newer stands; its wait
-    /// is returned so that the simulation ends it.
+    /// Handles what waits for its turn next. A call that begins a watch and finds nothing newer stands; its
+    /// wait is returned so that the simulation ends it.
     pub fn take_turn(&mut self, now: Micros) -> Option<(Received, Call)> {
         match self.turns.pop_front()? {
             Turn::Watch { proxy, serial } => {
@@ -233,7 +237,7 @@
     /// Answers a standing watch with what is newer than it holds.
     fn answer_watch(&mut self, proxy: ProxyNumber, serial: u32) -> Option<Reply> {
         let watch = &mut self.watches[usize::from(proxy)];
-        let after = watch.filter(|watch| watch.serial == serial && !watch.silent)?.after;
+        let after = watch.filter(|watch| watch.serial == serial && !watch.unresponsive)?.after;
         *watch = None;
         Some(self.answer(proxy, serial, Some(after)))
     }
@@ -291,8 +295,8 @@
         self.noticed.len() == 1
     }
 
-    /// Publishes what it has noticed. Returns the replies to the standing watches; where answers take turns they
-    /// wait for these instead.
+    /// Publishes what it has noticed. Returns the replies to the standing watches; where answers take turns
+    /// they wait for these instead.
     pub fn publish(&mut self) -> Vec<Reply> {
         for backend in std::mem::take(&mut self.noticed) {
             self.list[backend.id as usize] = backend;
@@ -305,14 +309,25 @@
         if !self.up {
             return Vec::new();
         }
-        let standing: Vec<(ProxyNumber, u32)> = self.standing().collect();
         if self.answer_time > 0.0 {
-            self.turns.extend(standing.into_iter().map(|(proxy, serial)| Turn::Watch { proxy, serial }));
+            self.give_turns();
             return Vec::new();
         }
+        let standing: Vec<(ProxyNumber, u32)> = self.standing().collect();
         standing.into_iter().filter_map(|(proxy, serial)| self.answer_watch(proxy, serial)).collect()
     }
 
+    /// The answers of all standing watches wait for their turn, once each.
+    fn give_turns(&mut self) {
+        for (proxy, watch) in (0..).zip(&mut self.watches) {
+            let Some(watch) = watch.as_mut().filter(|watch| !watch.has_turn && !watch.unresponsive) else {
+                continue;
+            };
+            watch.has_turn = true;
+            self.turns.push_back(Turn::Watch { proxy, serial: watch.serial });
+        }
+    }
+
     fn standing(&self) -> impl Iterator<Item = (ProxyNumber, u32)> + '_ {
         (0..).zip(&self.watches).filter_map(|(proxy, watch)| watch.map(|watch| (proxy, watch.serial)))
     }
@@ -335,10 +350,10 @@
         self.up = true;
     }
 
-    /// The proxy's watch falls silent: nothing is answered on it any more.
-    pub fn silence(&mut self, proxy: ProxyNumber) {
+    /// The proxy's watch becomes unresponsive: nothing is answered on it any more.
+    pub fn mute_watch(&mut self, proxy: ProxyNumber) {
         if let Some(watch) = &mut self.watches[usize::from(proxy)] {
-            watch.silent = true;
+            watch.unresponsive = true;
         }
     }
 }
--- a/lab/tests/fleet/rules.rs
+++ b/lab/tests/fleet/rules.rs
@@ -6,7 +6,7 @@
 use tillerproxy_lab::fleet::backend::Fall;
 use tillerproxy_lab::fleet::faults::Plan;
 use tillerproxy_lab::fleet::policy::{Policy, TrueState};
-use tillerproxy_lab::fleet::proxy::ToldBackend;
+use tillerproxy_lab::fleet::proxy::KnownBackend;
 use tillerproxy_lab::fleet::report::PolicyReport;
 use tillerproxy_lab::fleet::request::{AttemptState, SentAttempt, TrackedRequest};
 use tillerproxy_lab::fleet::rules::{Allowed, RuleChecker};
@@ -171,8 +171,8 @@
     assert_eq!((checker.counts.cold_backends.fallen, checker.counts.broken()[3]), (2, 1));
 }
 
-/// The broken parts of rule 2 when a keyed request goes from a backend of zone 0 and cell 0, sent at 0, to another
-/// at `now`: outside its window, outside its group.
+/// The broken parts of rule 2 when a keyed request goes from a backend of zone 0 and cell 0, sent at 0, to
+/// another at `now`: outside its window, outside its group.
 fn keyed_repeat(group: DedupGroup, now: Micros, zone: u16, cell: u16, state: AttemptState) -> (u64, u64) {
     let effect = Effect::Keyed { group, ttl: 1_000 };
     let class = Class { aim: 1, aim_stretch: 0.0, deadline: 1, worth: 1.0, late_worth: 0.0, effect };
@@ -181,7 +181,7 @@
     request.add_attempt(SentAttempt { backend: 0, sent_at: 0, state, place: 0 });
     let allowed = Allowed { max_attempts: 3, second_copies: false, drain_grace: 0 };
     let mut checker = RuleChecker::new(allowed);
-    checker.on_send(now, &request, &class, &at(zone, cell), &ToldBackend::default(), |_| at(0, 0));
+    checker.on_send(now, &request, &class, &at(zone, cell), &KnownBackend::default(), |_| at(0, 0));
     (checker.counts.effects.outside_window, checker.counts.effects.outside_group)
 }
 
