Count the listed entries of a live phase once its last changes are told

Cause: they were counted at the end of the phase, when discovery may not have noticed the last change yet, and then differed from what the processes knew when they were asked.

Change: counted behind the wait for the last changes.

--- a/lab/src/live/experiment.rs
+++ b/lab/src/live/experiment.rs
@@ -183,6 +183,7 @@
         }
         self.settle(SETTLES_WITHIN).await;
         figures.spread = self.tracker.take();
+        figures.listed = self.listed();
         for (process, figures) in self.fleet.real().iter().zip(&mut figures.processes) {
             figures.known_backends = process.known_backends().await;
         }
@@ -317,8 +318,6 @@
                 idle,
             }
         });
-        let board = self.discovery.service().board();
-        let listed = board.entries().iter().filter(|entry| entry.phase != EntryPhase::Left).count();
         Ok(PhaseFigures {
             kind: phase.kind(),
             clients: phase.has_clients(),
@@ -328,13 +327,19 @@
             direct: None,
             spread: None,
             restart: special.restart,
-            listed,
+            listed: 0,
             lab_cores: lab.saturating_sub(before.lab).as_secs_f64() / seconds,
             lab_timers_late: self.lateness.take().quantiles(),
             load_average: usage::load_average(),
         })
     }
 
+    /// Entries of the list, leaving ones too.
+    fn listed(&self) -> usize {
+        let board = self.discovery.service().board();
+        board.entries().iter().filter(|entry| entry.phase != EntryPhase::Left).count()
+    }
+
     fn hollow_figures(&self, before: &Before, seconds: f64) -> HollowFigures {
         let traffic = self.fleet.hollow_traffic();
         let rates = traffic.iter().zip(&before.hollow_bytes);
--- a/lab/src/live/report.rs
+++ b/lab/src/live/report.rs
@@ -39,7 +39,7 @@
     pub spread: Option<SpreadFigures>,
     /// How the restart went, in that phase.
     pub restart: Option<RestartFigures>,
-    /// Active and leaving entries of the list at the end.
+    /// Active and leaving entries of the list once the phase's changes had settled.
     pub listed: usize,
     /// Processor time of the lab itself, as cores.
     pub lab_cores: f64,
