Let the decision module itself say when hollow proxies of live call discovery

The schedule stood a second time in the lab with the module's constants copied, and was out of date once the module bounded the wait ahead of a call by 2.5 s. The hollow proxies of `live` now each have a balancer without backends that is told of their calls. The test of the schedule holds it to the new bound.

--- a/lab/src/live/fleet.rs
+++ b/lab/src/live/fleet.rs
@@ -16,6 +16,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
+use tillerproxy::api::SettingsError;
+use tillerproxy::wire::parse_settings;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
@@ -65,7 +67,7 @@
     ) -> Result<(Self, Vec<f64>), LabError> {
         let directory = TempDir::with_prefix("tillerproxy-live-")
             .map_err(|source| LabError::Unwritable { path: std::env::temp_dir(), source })?;
-        let hollow = HollowFleet::start(scenario, discovery, tracker, seed);
+        let hollow = HollowFleet::start(scenario, discovery, tracker, seed)?;
         let mut fleet = Self { program: program.to_owned(), directory, real: Vec::new(), hollow };
         fleet.write_configurations(scenario, discovery, discovery.addresses())?;
         let mut starting = JoinSet::new();
@@ -189,24 +191,26 @@
 }
 
 impl HollowFleet {
-    fn start(scenario: &LiveScenario, discovery: &StandIn, tracker: &Arc<SpreadTracker>, seed: u64) -> Self {
+    fn start(
+        scenario: &LiveScenario,
+        discovery: &StandIn,
+        tracker: &Arc<SpreadTracker>,
+        seed: u64,
+    ) -> Result<Self, LabError> {
         let (address, addresses) = watch::channel(discovery.addresses().hollow);
         let revision = scenario.processes.start_with_list.then(|| discovery.service().board().revision());
         let (mut tasks, mut traffic) = (JoinSet::new(), Vec::new());
         for me in scenario.processes.real..scenario.proxies() {
-            let settings = HollowSettings {
-                me,
-                proxies: scenario.proxies(),
-                mode: scenario.discovery.mode,
-                ask_within: Duration::from_millis(scenario.discovery.ask_within_ms),
-                revision,
-                seed: seed ^ u64::from(me) << 32,
-            };
+            let refused = |error: SettingsError| LabError::Failed(format!("hollow proxy {me}: {error}"));
+            let json = proxy_config::settings(scenario, me).to_string();
+            let settings = parse_settings(json.as_bytes()).map_err(refused)?;
+            let settings = HollowSettings { settings, revision, seed: seed ^ u64::from(me) << 32 };
             let exchanged = Arc::<Traffic>::default();
             traffic.push(Arc::clone(&exchanged));
-            tasks.spawn(HollowProxy::new(settings, addresses.clone(), exchanged, Arc::clone(tracker)).run());
+            let proxy = HollowProxy::new(settings, addresses.clone(), exchanged, Arc::clone(tracker));
+            tasks.spawn(proxy.map_err(refused)?.run());
         }
-        Self { _tasks: tasks, traffic, address }
+        Ok(Self { _tasks: tasks, traffic, address })
     }
 }
 
--- a/lab/src/live/hollow.rs
+++ b/lab/src/live/hollow.rs
@@ -1,7 +1,7 @@
 //! Hollow proxies: tasks that speak the discovery protocol as the real program does, and serve nobody.
 //!
-//! They follow the schedule of `tillerproxy::proxy::discovery` (waits, time-outs, continued watches) and that
-//! of the decision module (when a call is made again). Of an answer they read only the revision.
+//! They follow the schedule of `tillerproxy::proxy::discovery` (waits, time-outs, continued watches); when a call
+//! is made again the decision module itself says. Of an answer they read only the revision.
 
 use super::counted::{CountedStream, Side, Traffic};
 use super::scenario::DiscoveryMode;
@@ -12,12 +12,12 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tillerproxy::api::{Action, Event, Membership, Settings, SettingsError};
+use tillerproxy::balancer::Balancer;
 use tillerproxy::proxy::discovery::Asked;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
@@ -34,29 +34,14 @@
 const ANSWER_GRACE: Duration = Duration::from_millis(250);
 /// `AGENT_BACKOFF` of the proxy: how soon a failed call is made again where discovery is pushed.
 const PUSHED_BACKOFF: Duration = Duration::from_millis(100);
-/// `FIRST_CALL_EVERY` of the decision module: the fleet's first calls are spread to one in this time.
-const FIRST_CALL_EVERY: Duration = Duration::from_millis(20);
-/// `CALL_EVERY` of the decision module: the same for calls that are made again.
-const CALL_EVERY: Duration = Duration::from_millis(200);
-/// `CALL_TAKES` of the decision module: kept free of the span over which calls are spread.
-const CALL_TAKES: Duration = Duration::from_secs(8);
-/// First pause after a failed call; it doubles with each failure, [`BACKOFF_DOUBLINGS`] times at the most.
-const FIRST_BACKOFF: Duration = Duration::from_millis(125);
-const BACKOFF_DOUBLINGS: u32 = 4;
 /// Bytes of an answer in which its revision is looked for.
 const REVISION_WITHIN: usize = 64;
 
 /// What a hollow proxy is told at its start.
 #[derive(Clone, Debug)]
 pub struct HollowSettings {
-    /// Its number in the fleet and in the spread tracker.
-    pub me: u32,
-    /// Proxies of the fleet.
-    pub proxies: u32,
-    /// How discovery is reached.
-    pub mode: DiscoveryMode,
-    /// `safety.askWithinUs` of the settings.
-    pub ask_within: Duration,
+    /// The settings of its decision module; `me` is also its number in the spread tracker.
+    pub settings: Settings,
     /// The revision of the list that it starts with.
     pub revision: Option<u64>,
     /// Seed of its random numbers.
@@ -72,66 +57,67 @@
     Unresponsive,
 }
 
-/// When calls are made: as the proxy and its decision module do.
-#[derive(Debug)]
+/// When calls are made: the decision module, which holds no backends here, says when discovery is asked.
 pub struct CallSchedule {
-    settings: HollowSettings,
+    balancer: Balancer,
+    mode: DiscoveryMode,
     /// The wait of a continued watch in mode `ask`.
     asked_wait: Duration,
-    failures: u32,
-    rng: SmallRng,
 }
 
 impl CallSchedule {
     /// The schedule of a proxy that has made no call.
-    #[must_use]
-    pub fn new(settings: HollowSettings) -> Self {
+    ///
+    /// # Errors
+    /// The first of the settings that makes no sense.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         let (_, calls) = mpsc::unbounded_channel();
-        let asked_wait = Asked::new(calls, settings.me, settings.proxies).wait;
-        let rng = SmallRng::seed_from_u64(settings.seed);
-        Self { settings, asked_wait, failures: 0, rng }
+        let asked_wait = Asked::new(calls, settings.me, settings.balancers).wait;
+        let mode = if settings.discovery_on_request { DiscoveryMode::Ask } else { DiscoveryMode::Push };
+        Ok(Self { balancer: Balancer::new(settings, seed, 0)?, mode, asked_wait })
     }
 
     /// Time from the start to the first call.
     pub fn first(&mut self) -> Duration {
-        match self.settings.mode {
+        match self.mode {
             DiscoveryMode::Push => Duration::ZERO,
-            DiscoveryMode::Ask => self.spread(Duration::ZERO, FIRST_CALL_EVERY),
+            DiscoveryMode::Ask => self.tell(Membership::Cached(&[])),
         }
     }
 
     /// Time from a call that failed to the next one.
     pub fn after_failure(&mut self) -> Duration {
-        if self.settings.mode == DiscoveryMode::Push {
-            return PUSHED_BACKOFF;
+        match self.mode {
+            DiscoveryMode::Push => PUSHED_BACKOFF,
+            DiscoveryMode::Ask => self.tell(Membership::Failed),
         }
-        let wait = FIRST_BACKOFF * (1 << self.failures.min(BACKOFF_DOUBLINGS));
-        self.failures += 1;
-        self.spread(wait, CALL_EVERY)
     }
 
     /// A call brought an answer.
     pub fn succeeded(&mut self) {
-        self.failures = 0;
+        self.tell(Membership::Delta(&[]));
+    }
+
+    /// Tells the decision module of a call, and returns how long it waits ahead of the next one.
+    fn tell(&mut self, news: Membership<'_>) -> Duration {
+        let mut actions = Vec::new();
+        self.balancer.handle(0, Event::Membership(news), &mut actions);
+        let pauses = actions.iter().filter_map(|action| match action {
+            Action::SetTimer { after, .. } => Some(Duration::from_micros(*after)),
+            _ => None,
+        });
+        pauses.max().unwrap_or_default()
     }
 
     /// How long a watch is asked to wait, and how long its answer may take.
     #[must_use]
     pub fn watch(&self, is_continued: bool) -> (Duration, Duration) {
-        match self.settings.mode {
+        match self.mode {
             DiscoveryMode::Push => (PUSHED_WAIT, PUSHED_WAIT + ANSWER_GRACE),
             DiscoveryMode::Ask if is_continued => (self.asked_wait, self.asked_wait + ANSWER_GRACE),
             DiscoveryMode::Ask => (FIRST_WAIT, CALL_TIMEOUT),
         }
     }
-
-    /// `wait` from now, and at random in the time that the whole fleet takes at one call `every` so long.
-    fn spread(&mut self, wait: Duration, every: Duration) -> Duration {
-        let most = (self.settings.ask_within * 4).saturating_sub(CALL_TAKES).max(Duration::from_secs(1));
-        let wait = wait.min(most);
-        let span = wait.max(every * self.settings.proxies.saturating_sub(1)).min(most);
-        wait + span.mul_f64(self.rng.random())
-    }
 }
 
 /// A connection to discovery.
@@ -148,7 +134,6 @@
 }
 
 /// One hollow proxy.
-#[derive(Debug)]
 pub struct HollowProxy {
     me: usize,
     addresses: watch::Receiver<SocketAddr>,
@@ -162,16 +147,20 @@
 
 impl HollowProxy {
     /// A proxy that has made no call. `addresses` tells where discovery is.
-    #[must_use]
+    ///
+    /// # Errors
+    /// The first of its settings that makes no sense.
     pub fn new(
         settings: HollowSettings,
         addresses: watch::Receiver<SocketAddr>,
         traffic: Arc<Traffic>,
         tracker: Arc<SpreadTracker>,
-    ) -> Self {
-        let (me, revision) = (settings.me as usize, settings.revision);
-        let schedule = CallSchedule::new(settings);
-        Self { me, addresses, traffic, tracker, schedule, connection: None, revision, is_watching: false }
+    ) -> Result<Self, SettingsError> {
+        let HollowSettings { settings, revision, seed } = settings;
+        let me = settings.me as usize;
+        let schedule = CallSchedule::new(settings, seed)?;
+        let (connection, is_watching) = (None, false);
+        Ok(Self { me, addresses, traffic, tracker, schedule, connection, revision, is_watching })
     }
 
     /// Follows discovery until the task is aborted.
--- a/lab/src/live/proxy_config.rs
+++ b/lab/src/live/proxy_config.rs
@@ -33,7 +33,9 @@
     json!({"revision": 0, "complete": true, "members": []})
 }
 
-fn settings(scenario: &LiveScenario, me: u32) -> Value {
+/// The settings of process `me`, real or hollow.
+#[must_use]
+pub fn settings(scenario: &LiveScenario, me: u32) -> Value {
     let zones = &scenario.backends.zones;
     let mode = match scenario.discovery.mode {
         DiscoveryMode::Push => "pushed",
--- a/lab/src/live/tests.rs
+++ b/lab/src/live/tests.rs
@@ -1,12 +1,14 @@
 //! Tests of the parts of `live` that need no process.
 
-use super::hollow::{CallSchedule, HollowSettings, revision_in};
+use super::hollow::{CallSchedule, revision_in};
 use super::idle::slope;
-use super::scenario::{DiscoveryMode, LiveScenario};
+use super::proxy_config::settings;
+use super::scenario::LiveScenario;
 use super::spread::{Quantiles, SpreadTracker};
 use crate::error::LabError;
 use std::path::Path;
 use std::time::{Duration, Instant};
+use tillerproxy::wire::parse_settings;
 
 const SMALL: &str = include_str!("../../scenarios/live-small.toml");
 const TARGET: &str = include_str!("../../scenarios/live-target.toml");
@@ -150,22 +152,24 @@
     assert_eq!(revision_in(br#"{"revision":"41"}"#), None);
 }
 
-fn schedule(mode: DiscoveryMode) -> CallSchedule {
-    let ask_within = Duration::from_secs(10);
-    CallSchedule::new(HollowSettings { me: 3, proxies: 100, mode, ask_within, revision: None, seed: 1 })
+fn schedule(mode: &str) -> CallSchedule {
+    let scenario = TARGET.replace("mode = \"ask\"", &format!("mode = \"{mode}\""));
+    let settings = settings(&parse(&scenario).expect("a scenario"), 3).to_string();
+    CallSchedule::new(parse_settings(settings.as_bytes()).expect("good settings"), 1).expect("good settings")
 }
 
 #[test]
 fn calls_of_a_fleet_are_spread_where_discovery_is_asked() {
-    let mut asked = schedule(DiscoveryMode::Ask);
+    // The decision module leaves a call that waits for its turn the time to be answered.
+    const LONGEST: Duration = Duration::from_millis(2_500);
+    let mut asked = schedule("ask");
     let first: Vec<Duration> = (0..50).map(|_| asked.first()).collect();
-    assert!(first.iter().all(|&pause| pause <= Duration::from_millis(99 * 20)), "{first:?}");
+    assert!(first.iter().all(|&pause| pause <= LONGEST), "{first:?}");
     assert!(first.iter().max() > first.iter().min());
-    // A later failure waits longer, and never beyond four times `ask_within` less what a call takes, twice.
     for failures in 0..10_u32 {
         let pause = asked.after_failure();
-        let least = Duration::from_millis(125) * (1 << failures.min(4));
-        assert!(pause >= least && pause <= Duration::from_secs(2 * 32), "{failures} failures: {pause:?}");
+        let least = Duration::from_millis(125) * (1 << failures.min(3));
+        assert!(pause >= least && pause <= LONGEST, "{failures} failures: {pause:?}");
     }
     let (wait, limit) = asked.watch(true);
     assert!(wait > Duration::from_secs(4) && limit > wait);
@@ -174,7 +178,7 @@
 
 #[test]
 fn calls_come_at_once_where_discovery_is_pushed() {
-    let mut pushed = schedule(DiscoveryMode::Push);
+    let mut pushed = schedule("push");
     assert_eq!(pushed.first(), Duration::ZERO);
     assert_eq!(pushed.after_failure(), pushed.after_failure());
     assert_eq!(pushed.watch(true), pushed.watch(false));
