Break the circle of imports among the modules of the proxy

Nine modules of src/proxy imported one another in a circle: shared limits stood with the clients and the backends, the messages to the driver with the driver, and the proxy's own answers with the clients. They have modules of their own now: limits, messages, responses, dial and logging, and lingering is the socket's. What is left of the circle is discovery, messages and driver, by discovery's entries of a list and its import of the messages through the driver.

No behaviour changes; the tests assert what they did.

--- a/src/proxy/backends/connection.rs
+++ b/src/proxy/backends/connection.rs
@@ -1,12 +1,12 @@
 //! One connection to a backend: dialing, and the count of what its socket took.
 
-use super::HEAD_CAP;
 use super::fleet::Endpoint;
 use super::stray_bytes::StrayBytes;
 use crate::api::Outcome;
 use crate::proxy::bodies::RequestBody;
-use crate::proxy::connect;
 use crate::proxy::counters::Counters;
+use crate::proxy::dial::connect;
+use crate::proxy::limits::BACKEND_HEAD_CAP;
 use crate::proxy::socket::Socket;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -158,7 +158,7 @@
         let stream = connecting.map_err(|_| ConnectError::Backend)??;
         let wire = Rc::new(Wire::new(Socket::new(stream), stray_bytes, counters));
         let io = TokioIo::new(WireIo(Rc::clone(&wire)));
-        let handshake = http1::Builder::new().max_buf_size(HEAD_CAP).handshake(io).await;
+        let handshake = http1::Builder::new().max_buf_size(BACKEND_HEAD_CAP).handshake(io).await;
         let (sender, connection) = handshake.map_err(|_| ConnectError::Backend)?;
         let task = tokio::task::spawn_local(async move {
             // How it ended shows in the exchange that was on it.
--- a/src/proxy/backends/exchange.rs
+++ b/src/proxy/backends/exchange.rs
@@ -2,7 +2,7 @@
 
 use super::reply::{PartialBody, Reply, ReplyBody};
 use crate::proxy::bodies::{BodyBuffer, RequestBody, next_data};
-use crate::proxy::{BODY_CAP, PASS_CAP};
+use crate::proxy::limits::{BODY_CAP, PASS_CAP};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{CONNECTION, TRANSFER_ENCODING};
--- a/src/proxy/backends/mod.rs
+++ b/src/proxy/backends/mod.rs
@@ -30,9 +30,5 @@
 pub use call::{AttemptDeadlines, AttemptResult, Call, CancelSignal, Served};
 pub use fleet::{Endpoint, Fleet};
 
-/// The largest head of an answer, and what a connection reads ahead, in bytes: one that does not end must not
-/// take memory until the request's time is up.
-pub(super) const HEAD_CAP: usize = 16 * 1024;
-
 #[cfg(test)]
 mod tests;
--- a/src/proxy/backends/relay.rs
+++ b/src/proxy/backends/relay.rs
@@ -5,7 +5,7 @@
 use super::reply::PartialBody;
 use crate::api::Outcome;
 use crate::proxy::bodies::{AnswerSender, BodyDeadline, BufferedBody, ReceiverGone, next_data};
-use crate::proxy::{ANSWER_STALL, BODY_CAP, PASS_CAP};
+use crate::proxy::limits::{ANSWER_STALL, BODY_CAP, PASS_CAP};
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep_until, timeout};
--- a/src/proxy/bodies/buffered.rs
+++ b/src/proxy/bodies/buffered.rs
@@ -1,6 +1,6 @@
 //! Bodies that are buffered whole.
 
-use crate::proxy::BODY_CAP;
+use crate::proxy::limits::BODY_CAP;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::collections::VecDeque;
--- a/src/proxy/bodies/upload.rs
+++ b/src/proxy/bodies/upload.rs
@@ -1,9 +1,9 @@
 //! A request's body that is streamed to a backend, and how far it is.
 
 use super::{BodyDeadline, BufferedBody};
-use crate::proxy::PASS_CAP;
 use crate::proxy::budget::Reserved;
 use crate::proxy::counters::Counters;
+use crate::proxy::limits::PASS_CAP;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
--- a/src/proxy/budget.rs
+++ b/src/proxy/budget.rs
@@ -1,6 +1,6 @@
 //! What the process may take of its limits on memory and descriptors, and for what.
 
-use super::{BODY_CAP, backends, clients};
+use super::limits::{BACKEND_HEAD_CAP, BODY_CAP, CLIENT_HEAD_CAP};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -24,8 +24,8 @@
         let free = (sockets / processes).max(2 * reserved) - reserved;
         let fifth = memory_mb.saturating_mul(1 << 20) / processes / 5;
         // A client's connection may carry a request that waits for a backend's, so it gets the larger part.
-        let clients = (free * 3 / 5).min(2 * fifth / (clients::HEAD_CAP + BODY_CAP));
-        let backends = (free - free * 3 / 5).min(fifth / (backends::HEAD_CAP + BODY_CAP));
+        let clients = (free * 3 / 5).min(2 * fifth / (CLIENT_HEAD_CAP + BODY_CAP));
+        let backends = (free - free * 3 / 5).min(fifth / (BACKEND_HEAD_CAP + BODY_CAP));
         Self { clients: clients.max(1), backends: backends.max(1), bodies: Bytes::new(fifth) }
     }
 }
--- /dev/null
+++ b/src/proxy/clients/respond.rs
@@ -0,0 +1,177 @@
+//! The answer to one request of a client.
+
+use super::Clients;
+use super::headers::{CORRELATION_ID, SERVICE_CLASS};
+use crate::api::RequestId;
+use crate::proxy::bodies::{AnswerBody, BodyDeadline, BufferedBody, ResponseBody};
+use crate::proxy::connections::ClientConnection;
+use crate::proxy::counters::RequestOutcome;
+use crate::proxy::limits::REQUEST_TIME;
+use crate::proxy::messages::{Answer, Handle, Inbound, Message};
+use crate::proxy::responses::{Rejection, close, plain, refusal};
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use rustc_hash::FxHashSet;
+use std::cell::RefCell;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// A body has this long at the least, however late its head came, and longer the more of it has come.
+const MIN_BODY_TIME: Duration = Duration::from_millis(300);
+/// Nobody reads it.
+const CLIENT_GONE: Rejection = Rejection::new(StatusCode::BAD_REQUEST, "the client has left\n");
+
+impl Clients {
+    /// Answers the request of that number on a connection.
+    pub(super) async fn respond(
+        &self,
+        request: Request<Incoming>,
+        connection: &ClientConnection,
+        number: u64,
+    ) -> Response<ResponseBody> {
+        let now = Instant::now();
+        let late = if number == 1 { connection.connected() + REQUEST_TIME } else { now + REQUEST_TIME };
+        let deadline = BodyDeadline { grace_ends: late.max(now + MIN_BODY_TIME) };
+        let mut response = if self.is_health_check(&request) {
+            self.health().map(ResponseBody::Buffered)
+        } else {
+            // Rule 2: whoever reads the other end of the body takes a part of it for a request.
+            let inbound = if connection.is_ambiguous(number) {
+                Err(Rejection::new(StatusCode::BAD_REQUEST, "the body may end in two places\n"))
+            } else {
+                self.inbound(request, deadline).await
+            };
+            let answered = match inbound {
+                Ok(inbound) => self.ask(inbound, connection).await,
+                Err(rejected) => Err(rejected),
+            };
+            answered.unwrap_or_else(|rejected| {
+                let mut response = rejected.into_response().map(ResponseBody::Buffered);
+                // What follows a request that makes no sense may be a part of it.
+                close(&mut response);
+                response
+            })
+        };
+        if self.lifecycle.is_leaving() {
+            close(&mut response);
+        }
+        response
+    }
+
+    /// Whether the front asks if this proxy serves. A class may have the name of that call; its requests name
+    /// it.
+    fn is_health_check(&self, request: &Request<Incoming>) -> bool {
+        let asks_a_class =
+            || self.classes.contains_key("up") && request.headers().contains_key(SERVICE_CLASS);
+        request.uri().path() == "/up" && !asks_a_class()
+    }
+
+    fn health(&self) -> Response<BufferedBody> {
+        if self.lifecycle.is_up() {
+            plain(StatusCode::OK, "up\n")
+        } else {
+            plain(StatusCode::SERVICE_UNAVAILABLE, "not serving\n")
+        }
+    }
+
+    async fn ask(
+        &self,
+        inbound: Inbound,
+        connection: &ClientConnection,
+    ) -> Result<Response<ResponseBody>, Rejection> {
+        // It may have left before its connection was accepted, say.
+        if connection.is_closed_by_client() {
+            return Err(CLIENT_GONE);
+        }
+        // Rule 2: passed on, a second request of the same id would be a second copy of the first.
+        let Some(_id) = OpenId::claim(&self.ids, &inbound.call.headers) else {
+            return Err(Rejection::new(StatusCode::CONFLICT, "a request of this id is open\n"));
+        };
+        let rest = inbound.call.body.pending_upload();
+        let (sender, answer) = oneshot::channel();
+        let ticket = self.counters.begin_request(inbound.request.class);
+        let guard = ClientGoneGuard { handle: &self.handle, request: inbound.request.id, answered: false };
+        self.handle.tell(Message::Request(Box::new(inbound), sender));
+        let left = async {
+            match rest {
+                None => connection.closed_by_client(&self.budget.bodies).await,
+                Some(_) => connection.socket().ended().await,
+            }
+        };
+        // The library sees that a client has left only where it has read all that came ahead of it.
+        let answer = tokio::select! {
+            biased;
+            answer = answer => answer,
+            () = left => return Err(CLIENT_GONE),
+        };
+        guard.answered();
+        let (response, outcome) = match answer {
+            Ok(Answer::Served(served)) => {
+                let mut body = served.body;
+                match &mut body {
+                    AnswerBody::Buffered(_) => ticket.set_outcome(RequestOutcome::Passed),
+                    AnswerBody::Streamed(streamed) => streamed.set_ticket(ticket),
+                }
+                let mut response = Response::new(ResponseBody::from(body));
+                if let Some(content_type) = served.content_type {
+                    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+                }
+                return Ok(response);
+            }
+            Ok(Answer::Refused { retry_after }) => (refusal(retry_after), RequestOutcome::Dropped),
+            Ok(Answer::Failed) | Err(_) => {
+                (plain(StatusCode::BAD_GATEWAY, "failed\n"), RequestOutcome::BadGateway)
+            }
+        };
+        ticket.set_outcome(outcome);
+        // A request is taken with its last byte. Answered before, its client would be cut off.
+        if let Some(upload) = rest.and_then(|rest| rest.take()) {
+            upload.drain().await;
+        }
+        Ok(response.map(ResponseBody::Buffered))
+    }
+}
+
+/// Tells the driver when a client leaves while its request is open: its connection then drops the answer's
+/// future.
+struct ClientGoneGuard<'a> {
+    handle: &'a Handle,
+    request: RequestId,
+    answered: bool,
+}
+
+impl ClientGoneGuard<'_> {
+    fn answered(mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for ClientGoneGuard<'_> {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.handle.tell(Message::ClientGone(self.request));
+        }
+    }
+}
+
+/// The id of an open request; free again when this is dropped.
+struct OpenId<'a> {
+    ids: &'a RefCell<FxHashSet<HeaderValue>>,
+    id: HeaderValue,
+}
+
+impl<'a> OpenId<'a> {
+    fn claim(ids: &'a RefCell<FxHashSet<HeaderValue>>, headers: &HeaderMap) -> Option<Self> {
+        let id = headers.get(CORRELATION_ID)?.clone();
+        let is_new = ids.borrow_mut().insert(id.clone());
+        is_new.then(|| Self { ids, id })
+    }
+}
+
+impl Drop for OpenId<'_> {
+    fn drop(&mut self) {
+        self.ids.borrow_mut().remove(&self.id);
+    }
+}
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -1,7 +1,7 @@
 //! What the proxy is told at its start: the file that `EDGE_CONFIG` names, and the environment.
 
 use super::budget::Budget;
-use super::operator;
+use super::limits::MAX_OPERATOR_CALLS;
 use crate::api::{Micros, Settings, SettingsError};
 use crate::wire::parse_settings;
 use serde::Deserialize;
@@ -180,7 +180,7 @@
         let classes = named("classes", more.classes)?;
         let tenants = named("tenants", more.tenants)?;
         let operator = raw.operator.or_else(|| variable("EDGE_OPERATOR")).filter(|given| !given.is_empty());
-        let reserved = RESERVED_SOCKETS + operator.as_ref().map_or(0, |_| 1 + operator::MAX_CALLS);
+        let reserved = RESERVED_SOCKETS + operator.as_ref().map_or(0, |_| 1 + MAX_OPERATOR_CALLS);
         let sockets = raw.limits.sockets.unwrap_or(DEFAULT_SOCKETS);
         let memory_mb = raw.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
         Ok(Self {
--- a/src/proxy/connections.rs
+++ b/src/proxy/connections.rs
@@ -1,10 +1,9 @@
 //! The clients' connections as they look from outside: how far each one is, since when, and what it would
 //! cost to lose it.
 
-use super::ANSWER_STALL;
 use super::budget;
-use super::clients::REQUEST_TIME;
 use super::framing::Framing;
+use super::limits::{ANSWER_STALL, REQUEST_TIME};
 use super::read_ahead::{READ_PIECE, ReadAhead};
 use super::socket::{Socket, Unread};
 use rustc_hash::FxHashMap;
--- a/src/proxy/tests.rs
+++ b/src/proxy/logging/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use std::time::Duration;
 
 #[test]
 fn a_flood_of_lines_is_cut_off_and_counted() {
--- a/src/proxy/operator.rs
+++ b/src/proxy/operator.rs
@@ -2,11 +2,12 @@
 
 use super::backends::Fleet;
 use super::bodies::BufferedBody;
-use super::clients::{Rejection, linger, plain};
 use super::counters::Counters;
-use super::driver::{Handle, Message};
 use super::lifecycle::{IsStopping, Lifecycle};
+use super::limits::MAX_OPERATOR_CALLS;
 use super::log;
+use super::messages::{Handle, Message};
+use super::responses::{Rejection, plain};
 use super::socket::Socket;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -28,9 +29,6 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep, timeout_at};
 
-/// Calls that may be open at a time. Beyond it the one that came first goes: a call that is whole is answered
-/// at once, so that one has been waited for longest.
-pub const MAX_CALLS: usize = 12;
 /// How long a caller may take for its call.
 const CALL_TIME: Duration = Duration::from_millis(2_000);
 /// The largest head of a call; hyper takes no smaller one.
@@ -77,7 +75,7 @@
             };
             let mut open = open.borrow_mut();
             open.retain(|call| !call.is_finished());
-            if open.len() >= MAX_CALLS
+            if open.len() >= MAX_OPERATOR_CALLS
                 && let Some(first) = open.pop_front()
             {
                 first.abort();
@@ -103,7 +101,7 @@
             .max_buf_size(HEAD_CAP)
             .serve_connection(TokioIo::new(stream), service);
         let _ = std::future::poll_fn(|cx| conn.poll_without_shutdown(cx)).await;
-        linger(&Socket::new(conn.into_parts().io.into_inner())).await;
+        Socket::new(conn.into_parts().io.into_inner()).linger().await;
     }
 
     async fn answer(&self, request: Request<Incoming>, late: Instant) -> Result<Answer, Rejection> {
--- a/src/proxy/read_ahead.rs
+++ b/src/proxy/read_ahead.rs
@@ -4,8 +4,8 @@
 //! reads nothing behind an open request. What a client sends there is kept here, so that its leaving is
 //! noticed.
 
-use super::BODY_CAP;
 use super::budget::{self, Reserved};
+use super::limits::BODY_CAP;
 use bytes::{Buf, BytesMut};
 use std::task::Waker;
 use tokio::io::ReadBuf;
--- a/src/proxy/socket.rs
+++ b/src/proxy/socket.rs
@@ -5,8 +5,16 @@
 use std::net::Shutdown;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::io::{Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// How long a closing connection is read on after its last byte, and in all, so that the kernel does not
+/// answer late bytes with a reset that destroys an answer on its way.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_TOTAL: Duration = Duration::from_secs(2);
+const LINGER_BUFFER: usize = 8 * 1024;
 
 /// What has come in and was not read yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,7 +76,7 @@
 
     /// When it is closed, the other side sees it break.
     pub fn break_off(&self) {
-        let _ = socket2::SockRef::from(&*self.0).set_linger(Some(std::time::Duration::ZERO));
+        let _ = socket2::SockRef::from(&*self.0).set_linger(Some(Duration::ZERO));
     }
 
     /// Reads what has come, once something has; `None` at the end.
@@ -83,6 +91,18 @@
         }
     }
 
+    /// Ends the sending side and reads what still comes, until nothing does for a while.
+    pub async fn linger(&self) {
+        if self.end_sending().is_err() {
+            return;
+        }
+        let _ = timeout(LINGER_TOTAL, async {
+            let mut buffer = vec![0; LINGER_BUFFER];
+            while let Ok(Some(_)) = timeout(LINGER, self.read(&mut buffer)).await {}
+        })
+        .await;
+    }
+
     /// As [`tokio::io::AsyncRead::poll_read`].
     pub fn poll_read(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
