Say balancer for what decides, and name the senders of the tests' channels

Comments of src/proxy called the balancer the module, and tests named the sending end of a channel told and an unresponsive client silent. The pause after a failed accept stood twice and is one of the shared limits now.

No behaviour changes; the tests assert what they did.

--- a/src/proxy/bodies/outgoing.rs
+++ b/src/proxy/bodies/outgoing.rs
@@ -16,7 +16,7 @@
 
 /// A request's body as an attempt finds it.
 pub enum CallBody {
-    /// It can be sent as often as the module wants.
+    /// It can be sent as often as the balancer wants.
     Buffered(BufferedBody, Vec<Reserved>),
     /// The first attempt that has a connection takes it.
     Streamed(PendingUpload, Rc<Progress>),
--- a/src/proxy/clients/mod.rs
+++ b/src/proxy/clients/mod.rs
@@ -11,7 +11,7 @@
 use super::connections::{ClientConnection, ClientConnections};
 use super::counters::Counters;
 use super::lifecycle::Lifecycle;
-use super::limits::CLIENT_HEAD_CAP;
+use super::limits::{ACCEPT_BACKOFF, CLIENT_HEAD_CAP};
 use super::log;
 use super::messages::Handle;
 use crate::api::{Effect, Micros, Settings};
@@ -26,9 +26,6 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 
-/// How long nothing is accepted after an accept that failed.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-
 /// What the settings say of a class of requests.
 struct Class {
     deadline: Micros,
--- a/src/proxy/clock.rs
+++ b/src/proxy/clock.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
-/// Starts at the Unix time of its making and then follows the monotonic clock. The module's times count from
-/// the epoch, so that starts of backends from before this process can be told, and a step of the system's
-/// clock moves nothing.
+/// Starts at the Unix time of its making and then follows the monotonic clock. The balancer's times count
+/// from the epoch, so that starts of backends from before this process can be told, and a step of the
+/// system's clock moves nothing.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     origin: Instant,
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -45,7 +45,7 @@
 
 impl std::error::Error for ConfigError {}
 
-/// The names that the protocol uses and the module knows by their position.
+/// The names that the protocol uses and the balancer knows by their position.
 #[derive(Clone, Debug, Default)]
 pub struct Names {
     /// Request classes.
@@ -75,7 +75,7 @@
     pub seed: u64,
     /// The list of backends as last known, in discovery's form.
     pub known: Value,
-    /// The module's settings.
+    /// The balancer's settings.
     pub settings: Settings,
     /// What the settings name.
     pub names: Names,
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -16,12 +16,12 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep_until;
 
-/// The module is told that a request's time ends this much before the client's does: the answer has to be
+/// The balancer is told that a request's time ends this much before the client's does: the answer has to be
 /// written and to travel.
 pub const ANSWER_MARGIN: Micros = 20_000;
 /// A process that ends has answered everything this much before.
 const SHUTDOWN_MARGIN: Micros = 100_000;
-/// A request that the module has left open is failed this much before the client's time ends.
+/// A request that the balancer has left open is failed this much before the client's time ends.
 const LAST_MARGIN: Micros = 10_000;
 
 struct Attempt {
@@ -48,7 +48,7 @@
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
-    /// A timer of the module.
+    /// A timer of the balancer.
     Balancer(u32),
     /// The last moment for a request's answer.
     LastMoment(RequestId),
@@ -88,7 +88,7 @@
 }
 
 impl Driver {
-    /// A driver with no requests. `subscribe` is told when the module wants changes from discovery.
+    /// A driver with no requests. `subscribe` is told when the balancer wants changes from discovery.
     #[must_use]
     pub fn new(
         balancer: Balancer,
@@ -154,7 +154,7 @@
         }
     }
 
-    /// Rule 1: whatever the module is waiting for, the client gets an answer before its time ends.
+    /// Rule 1: whatever the balancer is waiting for, the client gets an answer before its time ends.
     fn on_last_moment(&mut self, now: Micros, request: RequestId) {
         let Some(open) = self.open.get_mut(&request) else { return };
         // Its time counts from its last byte.
@@ -238,7 +238,7 @@
         self.handle_event(now, Event::Membership(news));
     }
 
-    /// Gives the module an event, and then whatever its actions have caused at once.
+    /// Gives the balancer an event, and then whatever its actions have caused at once.
     fn handle_event(&mut self, now: Micros, event: Event<'_>) {
         self.balancer.handle(now, event, &mut self.actions);
         self.execute_actions(now);
--- a/src/proxy/framing.rs
+++ b/src/proxy/framing.rs
@@ -157,7 +157,7 @@
     for line in head.split(|&b| b == b'\n').skip(1) {
         let Some(colon) = line.iter().position(|&b| b == b':') else { continue };
         let (name, value) = (&line[..colon], line[colon + 1..].trim_ascii());
-        let told = if name.eq_ignore_ascii_case(b"content-length") {
+        let found = if name.eq_ignore_ascii_case(b"content-length") {
             let digits = value.iter().all(u8::is_ascii_digit).then_some(value)?;
             BodyLength::Known(std::str::from_utf8(digits).ok()?.parse().ok()?)
         } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
@@ -169,7 +169,7 @@
         if body != BodyLength::None {
             return None;
         }
-        body = told;
+        body = found;
     }
     Some(body)
 }
--- a/src/proxy/limits.rs
+++ b/src/proxy/limits.rs
@@ -16,6 +16,8 @@
 /// How long a client may take for a request, its body too. For the first one on a connection this counts from
 /// connecting. It is also how long a client may stay idle.
 pub const REQUEST_TIME: Duration = Duration::from_millis(2_500);
+/// How long nothing is accepted after an accept that failed.
+pub const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// Calls of operators that may be open at a time. Beyond it the one that came first goes: a call that is
 /// whole is answered at once, so that one has been waited for longest.
 pub const MAX_OPERATOR_CALLS: usize = 12;
--- a/src/proxy/messages.rs
+++ b/src/proxy/messages.rs
@@ -24,7 +24,7 @@
 /// A request as a client sent it.
 #[derive(Debug)]
 pub struct Inbound {
-    /// What the module is told of it. Its patience still counts in full.
+    /// What the balancer is told of it. Its patience still counts in full.
     pub request: Request,
     /// When it came.
     pub arrived: Micros,
@@ -62,7 +62,7 @@
     Probed(BackendId, AttemptResult),
     /// News of the backends.
     Listed(Scope, Vec<Listed>),
-    /// Somebody asks how many of the listed backends the module avoids.
+    /// Somebody asks how many of the listed backends the balancer avoids.
     Avoided(oneshot::Sender<usize>),
 }
 
--- a/src/proxy/operator.rs
+++ b/src/proxy/operator.rs
@@ -4,7 +4,7 @@
 use super::bodies::BufferedBody;
 use super::counters::Counters;
 use super::lifecycle::{IsStopping, Lifecycle};
-use super::limits::MAX_OPERATOR_CALLS;
+use super::limits::{ACCEPT_BACKOFF, MAX_OPERATOR_CALLS};
 use super::log;
 use super::messages::{Handle, Message};
 use super::responses::{Rejection, plain};
@@ -35,7 +35,6 @@
 const HEAD_CAP: usize = 8 * 1024;
 /// The largest body. No call needs one.
 const BODY_CAP: usize = 4 * 1024;
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// The text form of the figures.
 const FORM: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4; charset=utf-8");
 
--- a/src/proxy/responses.rs
+++ b/src/proxy/responses.rs
@@ -6,7 +6,7 @@
 use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
 
-/// A request that is answered here because the module can't be asked about it.
+/// A request that is answered here because the balancer can't be asked about it.
 pub(super) struct Rejection {
     status: StatusCode,
     why: &'static str,
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -117,7 +117,7 @@
             let deadlines =
                 AttemptDeadlines { give_up: Instant::now() + Duration::from_secs(1), write_by: None };
             let (_keep, cancel) = oneshot::channel();
-            let (told, body) = oneshot::channel();
+            let (sender, body) = oneshot::channel();
             let endpoint = fleet.endpoint(BACKEND).expect("it is listed");
             let over = Rc::clone(&call);
             spawn_local(async move {
@@ -134,7 +134,7 @@
                 }
                 got
             });
-            let begins = |served: Served| assert!(told.send(served.body.into()).is_ok());
+            let begins = |served: Served| assert!(sender.send(served.body.into()).is_ok());
             let began = Instant::now();
             let ended = fleet.attempt(endpoint, call, deadlines, cancel, begins).await;
             (ended.outcome, began.elapsed(), client.await.expect("a client"))
--- a/tests/proxy/forms.rs
+++ b/tests/proxy/forms.rs
@@ -143,8 +143,8 @@
             let mut all = Vec::new();
             let ended = client.reader.read_to_end(&mut all);
             let whole = all.ends_with(b"0\r\n\r\n");
-            let told = String::from_utf8_lossy(&all[..300.min(all.len())]).to_lowercase();
-            let shows = told.contains("content-length: 200000") || told.contains("chunked");
+            let text = String::from_utf8_lossy(&all[..300.min(all.len())]).to_lowercase();
+            let shows = text.contains("content-length: 200000") || text.contains("chunked");
             assert!(ended.is_err() || (shows && !whole), "{name} {version}");
         }
         assert_eq!(backend.next().header("x-correlation-id"), Some("HTTP/1.1"));
@@ -159,14 +159,14 @@
 /// but what has left of its body is not held any more.
 #[test]
 fn a_body_that_has_partly_left_is_not_sent_again() {
-    let (told, accepted) = channel();
+    let (sender, accepted) = channel();
     let breaker = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = breaker.local_addr().expect("an address");
     thread::spawn(move || {
         for stream in breaker.incoming() {
             let mut stream = stream.expect("a connection");
             stream.read_exact(&mut [0; 50_000]).expect("a part of the body");
-            told.send(()).expect("the test waits");
+            sender.send(()).expect("the test waits");
         }
     });
     let discovery = Discovery::start();
--- a/tests/proxy/moments.rs
+++ b/tests/proxy/moments.rs
@@ -299,10 +299,10 @@
     let left = TIME_LEFT.saturating_sub(sent_at.elapsed());
     stream.write_all(&answer("200 OK", "", b"there")).expect("the proxy reads");
     assert_eq!(client.receive().body, b"there");
-    let told: u64 = seen.header("x-time-left-ms").expect("the time left").parse().expect("a number");
-    let told = Duration::from_millis(told);
-    assert!(told <= left + Duration::from_millis(300), "{told:?} told, {left:?} left");
-    assert!(told + Duration::from_secs(4) > left, "{told:?} told, {left:?} left");
+    let time_left: u64 = seen.header("x-time-left-ms").expect("the time left").parse().expect("a number");
+    let time_left = Duration::from_millis(time_left);
+    assert!(time_left <= left + Duration::from_millis(300), "{time_left:?} named, {left:?} left");
+    assert!(time_left + Duration::from_secs(4) > left, "{time_left:?} named, {left:?} left");
 }
 
 /// Its end comes behind far more than the kernel takes for a connection that nobody reads.
@@ -470,7 +470,7 @@
     let discovery = Discovery::start();
     let backend = Backend::start(|_| Reply::Hang);
     let mut proxy = Proxy::start("killed", &discovery, &[entry("s-1", backend.address, "active", 0)]);
-    let (mut silent, mut flowing, mut late) = (proxy.client(), proxy.client(), proxy.client());
+    let (mut unresponsive, mut flowing, mut late) = (proxy.client(), proxy.client(), proxy.client());
     assert_eq!(late.ask(UP).status(), 200);
     let whole = request("charge", "flowing", "0123456789");
     let (most, last) = whole.split_at(whole.len() - 5);
@@ -488,8 +488,8 @@
         assert_eq!(client.receive().status(), 502, "it may have run");
     }
     assert!(began.elapsed() < KILLED_AFTER, "after {:?}", began.elapsed());
-    assert!(silent.ends_cleanly());
-    drop((silent, flowing, late));
+    assert!(unresponsive.ends_cleanly());
+    drop((unresponsive, flowing, late));
     assert_eq!(proxy.wait().code(), Some(0));
     assert!(began.elapsed() < KILLED_AFTER);
 }
@@ -553,7 +553,7 @@
 fn answers_early(early: Vec<u8>, word: Receiver<()>) -> (SocketAddr, Receiver<u64>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
-    let (told, came) = channel();
+    let (sender, came) = channel();
     std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
         stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
@@ -565,7 +565,7 @@
         }
         stream.write_all(&early).expect("the proxy reads");
         word.recv_timeout(PATIENCE).expect("a word");
-        let _ = told.send(std::io::copy(&mut reader, &mut std::io::sink()).unwrap_or_default());
+        let _ = sender.send(std::io::copy(&mut reader, &mut std::io::sink()).unwrap_or_default());
     });
     (address, came)
 }
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -134,11 +134,11 @@
     pub fn start(script: impl FnMut(&Seen) -> Reply + Send + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let (told, seen) = channel();
+        let (sender, seen) = channel();
         let script: Arc<Mutex<Script>> = Arc::new(Mutex::new(Box::new(script)));
         thread::spawn(move || {
             for (connection, stream) in listener.incoming().enumerate() {
-                let (Ok(mut stream), told, script) = (stream, told.clone(), Arc::clone(&script)) else {
+                let (Ok(mut stream), sender, script) = (stream, sender.clone(), Arc::clone(&script)) else {
                     return;
                 };
                 thread::spawn(move || {
@@ -146,7 +146,7 @@
                     while let Some(mut request) = read_message(&mut reader) {
                         request.connection = connection;
                         let reply = script.lock().expect("a script")(&request);
-                        let _ = told.send(request);
+                        let _ = sender.send(request);
                         if !carry_out(reply, &mut stream) {
                             let _ = stream.shutdown(std::net::Shutdown::Both);
                             return;
@@ -234,7 +234,11 @@
     calls: Receiver<Option<u64>>,
 }
 
-fn serve_watch(stream: TcpStream, board: &(Mutex<Board>, Condvar), told: &Sender<Option<u64>>) -> Option<()> {
+fn serve_watch(
+    stream: TcpStream,
+    board: &(Mutex<Board>, Condvar),
+    sender: &Sender<Option<u64>>,
+) -> Option<()> {
     let mut reader = BufReader::new(stream.try_clone().ok()?);
     let mut stream = stream;
     loop {
@@ -243,7 +247,7 @@
             let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
             digits.parse::<u64>().expect("a version")
         });
-        told.send(after).ok()?;
+        sender.send(after).ok()?;
         let (lock, changed) = board;
         let mut board = lock.lock().expect("the board");
         while board.list.is_none() || after == Some(board.revision) {
@@ -266,12 +270,14 @@
         let listener = TcpListener::bind(address).expect("a port");
         let address = listener.local_addr().expect("an address");
         let board = Arc::new((Mutex::new(Board { revision: 0, list: None }), Condvar::new()));
-        let (told, calls) = channel();
+        let (sender, calls) = channel();
         let shared = Arc::clone(&board);
         thread::spawn(move || {
             for stream in listener.incoming() {
-                let (Ok(stream), board, told) = (stream, Arc::clone(&shared), told.clone()) else { return };
-                thread::spawn(move || serve_watch(stream, &board, &told));
+                let (Ok(stream), board, sender) = (stream, Arc::clone(&shared), sender.clone()) else {
+                    return;
+                };
+                thread::spawn(move || serve_watch(stream, &board, &sender));
             }
         });
         Self { address, board, calls }
