Test that a connection closed while the process stood still is not used again

A backend that closes right behind its answer is seen before its connection is kept.

No behaviour changes.

--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -366,6 +366,29 @@
     }
 }
 
+/// Closed while the process stood still, a connection looks open to the runtime when the next request comes.
+#[test]
+fn a_connection_whose_close_the_runtime_has_not_seen_is_not_used_again() {
+    let discovery = Discovery::start();
+    let (closes, words): (Vec<_>, Vec<_>) = (0..4).map(|_| channel()).unzip();
+    let mut words = words.into_iter();
+    let backend = Backend::start(move |_| {
+        let word = words.next().expect("as many requests as words");
+        Reply::Then(answer("200 OK", "", b"last"), word, Box::new(Reply::WriteAndClose(Vec::new())))
+    });
+    let proxy = Proxy::start("closed-unseen", &discovery, &[entry("s-1", backend.address, "active", 0)]);
+    let mut client = proxy.client();
+    for (id, close) in closes.iter().enumerate() {
+        client.send(&request("charge", &id.to_string(), "x"));
+        proxy.go_on();
+        assert_eq!(client.receive().status(), 200);
+        backend.next();
+        proxy.halt();
+        close.send(()).expect("the backend waits");
+        backend.wait_until_closed();
+    }
+}
+
 #[test]
 fn a_request_that_a_backend_never_answers_fails_in_its_time() {
     let discovery = Discovery::start();
