--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -2,8 +2,8 @@
 
 use super::clock::Clock;
 use super::config::Names;
-use super::driver::{Handle, Message, Scope};
 use super::lifecycle::Lifecycle;
+use super::messages::{Handle, Listed, Message, Scope};
 use super::{connect, log};
 use crate::api::{Backend, BackendId, Readiness};
 use bytes::Bytes;
@@ -52,15 +52,6 @@
 /// The largest list; thousands of entries fit in.
 const LIST_CAP: usize = 4 << 20;
 
-/// A backend as the list has it, in the module's numbers, and where it listens.
-#[derive(Clone, Copy, Debug)]
-pub struct Listed {
-    /// What the module is told.
-    pub backend: Backend,
-    /// Where it listens.
-    pub address: SocketAddr,
-}
-
 /// How discovery is called where it is one service for all proxies.
 #[derive(Debug)]
 pub struct Asked {
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -3,10 +3,9 @@
 
 use super::backends::{AttemptDeadlines, AttemptResult, Call, Fleet, Served};
 use super::clock::Clock;
-use super::discovery::Listed;
 use super::lifecycle::Lifecycle;
 use super::log;
-pub use super::messages::{Answer, Handle, Inbound, Message, Scope};
+use super::messages::{Answer, Handle, Inbound, Listed, Message, Scope};
 use crate::api::{Action, Backend, BackendId, Event, Membership, Micros, Outcome, RequestId, Settled};
 use crate::balancer::Balancer;
 use rustc_hash::{FxHashMap, FxHashSet};
--- a/src/proxy/messages.rs
+++ b/src/proxy/messages.rs
@@ -1,12 +1,21 @@
 //! What the driver is told, and what it answers: the types that the tasks of the proxy share.
 
 use super::backends::{AttemptResult, Call, Served};
-use super::discovery::Listed;
-use crate::api::{BackendId, Micros, Request, RequestId};
+use crate::api::{Backend, BackendId, Micros, Request, RequestId};
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
 
+/// A backend as the list has it, in the module's numbers, and where it listens.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    /// What the module is told.
+    pub backend: Backend,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
 /// The final answer to a request.
 #[derive(Debug)]
 pub enum Answer {
