--- a/lab/src/slopes/scenario.rs
+++ b/lab/src/slopes/scenario.rs
@@ -72,8 +72,8 @@
     /// Exponent of the Zipf distribution of requests over tenants; 0 spreads them evenly.
     pub tenant_skew: f64,
     /// How long the proxy has run when its first request comes. The balancer's token buckets of tenants start
-    /// empty, and a request without a token costs a look at all tenants: at 0 that is nearly every request of
-    /// a small tenant.
+    /// nearly empty, and only a request that finds no token is compared with what all tenants asked: at 0 that
+    /// is nearly every request of a small tenant.
     pub proxy_age_seconds: f64,
 }
 
