Take back the judging of a tenant's share without its present request

Cause: fewer requests count as beyond their share while discovery is down and proxies are gone, and none of them is held to six tenths of a limit. That the present request counts is wrong at 15,000 tenants, where each of 10,000 requests within their shares is taken for beyond; it needs a mend that loses nothing here.

--- a/src/demand.rs
+++ b/src/demand.rs
@@ -68,13 +68,12 @@
         within
     }
 
-    /// Whether a tenant asked for more of its share than the tenants did on the whole before its present request, for
-    /// which `take` was called at this moment. The request itself says nothing: who asks has always just asked.
+    /// Whether a tenant asks for more of its share than the tenants do on the whole. Called right after `take`.
     pub(crate) fn is_above_average(&self, now: Micros, tenant: usize) -> bool {
         let Some(asking) = self.tenants.get(tenant) else { return false };
         let faded = self.sum * i128::from(now) - self.moment;
-        let all = (self.sum - UNITS) as f64 - faded as f64 / FADES as f64;
-        (asking.asked(now) - UNITS) as f64 * self.total_rate > all * asking.rate
+        let all = self.sum as f64 - faded as f64 / FADES as f64;
+        asking.asked(now) as f64 * self.total_rate > all * asking.rate
     }
 
     /// Tenants that have not asked for so long that nothing is left count no more.
