--- a/src/balancer/attempts.rs
+++ b/src/balancer/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::Balancer;
 use crate::api::{Action, Micros, Outcome, RequestId, Settled};
-use crate::state::{Attempt, AttemptState};
+use crate::state::{Attempt, AttemptState, Stamped};
 
 /// A bad sample (an error, say), and the most that any sample counts, as multiples of Lmax.
 const BAD_SAMPLE: f64 = 2.0;
@@ -21,13 +21,14 @@
 impl Balancer {
     /// The only place where an attempt starts. `pick` has made sure that the server may have it.
     pub(super) fn send(&mut self, now: Micros, slot: usize, index: usize, out: &mut Vec<Action>) {
-        self.unhold(slot);
-        let rested = self.connection(now, index, out);
+        self.dequeue(slot);
+        let connection_idle = self.connection(now, index, out);
         self.refill_cold(now, index);
-        let slots = self.slots(index, self.pool.spread);
+        let slots = self.slots(index, self.pool.limit_factor);
         let class = self.open[slot].class;
         let overdue = self.overdue(class);
-        let due = now + if self.is_quick(class) { overdue } else { self.settings.classes[class].deadline };
+        let overdue_at =
+            now + if self.is_quick(class) { overdue } else { self.settings.classes[class].deadline };
         let server = &mut self.servers[index];
         if let Some(cold) = &mut server.cold {
             cold.tokens -= 1.0;
@@ -36,21 +37,20 @@
             }
         }
         if server.in_flight == 0 {
-            server.silent_since = now;
+            server.unanswered_since = now;
         }
-        let trial = server.ejected_until.is_some() || server.is_silent(now, overdue);
-        server.trial_out |= trial;
-        server.due.push(due);
+        let trial = server.ejected_until.is_some() || server.is_unresponsive(now, overdue);
+        server.trial_in_flight |= trial;
+        server.overdue_at.push(overdue_at);
         server.in_flight += 1;
         self.in_flight += 1;
         server.window.filled |= i64::from(server.in_flight) * 4 >= slots * 3;
         let (give_up_at, early) = self.give_up_at(now, &self.open[slot]);
         let write_by = self.window_end(&self.open[slot]);
-        let (began, state) = (false, AttemptState::Out);
-        let attempt = Attempt { server: index, sent_at: now, rested, early, due, trial, began, state };
+        let attempt = Attempt { connection_idle, early, overdue_at, trial, ..Attempt::new(index, now) };
         let open = &mut self.open[slot];
         open.attempts.push(attempt);
-        self.servers[index].held += 1;
+        self.servers[index].references += 1;
         let (request, backend) = (open.id, self.servers[index].id);
         out.push(Action::Send { request, backend, give_up_at, write_by });
         self.reindex(now, index);
@@ -69,17 +69,17 @@
         let Some(slot) = self.open.find(request) else { return };
         let open = &mut self.open[slot];
         let Some(attempt) = open.attempts.get_mut(usize::from(number)) else { return };
-        if attempt.state != AttemptState::Out || attempt.began {
+        if attempt.state != AttemptState::Out || attempt.answer_began {
             return;
         }
         let to = *attempt;
-        (attempt.began, open.streaming) = (true, true);
+        (attempt.answer_began, open.streaming) = (true, true);
         let (class, outcome, backend) = (open.class, Outcome::Ok, self.servers[to.server].id);
         let (closed, report, spent) = (true, [].as_slice(), false);
         let begun = Settled { request, backend, attempt: number, outcome, closed, elapsed, report, spent };
         self.observe(now, class, to, &begun, out);
         self.reindex(now, to.server);
-        self.serve_held(now, out);
+        self.serve_queue(now, out);
     }
 
     pub(super) fn on_settled(&mut self, now: Micros, settled: Settled<'_>, out: &mut Vec<Action>) {
@@ -93,7 +93,7 @@
         attempt.state = if never_ran { AttemptState::NeverRan } else { AttemptState::MayHaveRun };
         let (attempt, class) = (*attempt, open.class);
         open.spent |= settled.spent;
-        if !attempt.began {
+        if !attempt.answer_began {
             self.observe(now, class, attempt, &settled, out);
         } else if settled.outcome == Outcome::Ok {
             self.follow_report(now, attempt.server, settled.report);
@@ -102,9 +102,9 @@
         if settled.closed || self.open[slot].answered {
             self.close(slot);
         } else {
-            self.again(now, slot, never_ran, out);
+            self.retry(now, slot, never_ran, out);
         }
-        self.serve_held(now, out);
+        self.serve_queue(now, out);
     }
 
     /// What an outcome tells of its server.
@@ -121,19 +121,19 @@
         let server = &mut self.servers[index];
         let kind = usize::from(server.kind);
         let latency = &mut self.latencies[class * kinds + kind];
-        let known = latency.base < f64::MAX || self.pool.spread > 1.0;
+        let known = latency.base < f64::MAX || self.pool.limit_factor > 1.0;
         let elapsed = end.elapsed as f64;
-        server.ended(to.due);
-        server.trial_out &= !to.trial;
+        server.ended(to.overdue_at);
+        server.trial_in_flight &= !to.trial;
         self.in_flight = self.in_flight.saturating_sub(1);
-        let silent = server.silent_since <= to.sent_at;
+        let unresponsive = server.unanswered_since <= to.sent_at;
         if end.outcome == Outcome::Moot {
             return;
         }
         let aim = self.settings.classes[class].aim as f64;
         let lmax = latency.lmax(aim);
         let multiplex = self.settings.permissions.multiplex.max(1);
-        if let Some(at) = server.rested.get_mut((server.in_flight / multiplex) as usize) {
+        if let Some(at) = server.connections_used_at.get_mut((server.in_flight / multiplex) as usize) {
             *at = now;
         }
         // Departure: a failure is a bad sample however quick it was, so that quick errors can't raise a
@@ -146,7 +146,7 @@
             Outcome::Ok => {
                 latency.add(elapsed, now, LATENCY_WEIGHT, BASE_DRIFT);
                 self.served.add(now);
-                server.silent_since = now;
+                server.unanswered_since = now;
                 server.answered = server.answered.max(to.sent_at);
                 // What a cold server answers in good time it can do: the token of that send comes back.
                 let in_time = latency.base < f64::MAX && elapsed <= lmax;
@@ -155,7 +155,7 @@
                 false
             }
             // A server that answered others meanwhile is not hung; the request was heavy.
-            Outcome::Timeout | Outcome::Cancelled => silent,
+            Outcome::Timeout | Outcome::Cancelled => unresponsive,
             Outcome::Error | Outcome::Spoilt | Outcome::ConnectFailed | Outcome::Reset => true,
             Outcome::Full => {
                 server.full_until = now + latency.mean as Micros;
@@ -164,11 +164,12 @@
             Outcome::Moot => false,
         };
         let lost = matches!(end.outcome, Outcome::Timeout | Outcome::Reset) && failed;
-        if lost && self.blame_rest(now, to.rested) {
+        if lost && self.blame_idle_connection(now, to.connection_idle) {
             return;
         }
         let server = &mut self.servers[index];
-        server.pace = ((server.pace(now) + sample.min(SAMPLE_CAP)) / 2.0, now);
+        let recent = (server.recent_latency(now) + sample.min(SAMPLE_CAP)) / 2.0;
+        server.recent = Stamped { value: recent, at: now };
         let weight = match end.outcome {
             Outcome::ConnectFailed => REFUSED_WEIGHT,
             Outcome::Reset => BROKEN_WEIGHT,
--- a/src/balancer/indexing.rs
+++ b/src/balancer/indexing.rs
@@ -2,8 +2,8 @@
 //! against it is found by its rank; what is busy, slow or has a limit of its own is compared one by one; what
 //! gets nothing for a time is left out until that time is over.
 
-use super::limits::PACE_HOLDS;
-use super::{Balancer, GOLDEN};
+use super::limits::RECENT_TTL;
+use super::{Balancer, GOLDEN_RATIO_FRACTION};
 use crate::api::Micros;
 use crate::index::{Change, Group, Position};
 use crate::state::{LimitSource, Server};
@@ -20,7 +20,9 @@
             Server { cold: Some(cold), .. } if cold.tokens < 1.0 => {
                 (Position::Barred, Some(cold.recheck_at()))
             }
-            server if server.pace(now) > 1.0 => (Position::Scanned, Some(server.pace.1 + PACE_HOLDS)),
+            server if server.recent_latency(now) > 1.0 => {
+                (Position::Scanned, Some(server.recent.at + RECENT_TTL))
+            }
             server if server.limit_source == LimitSource::Kind => (Position::Indexed, None),
             _ => (Position::Scanned, None),
         }
@@ -31,11 +33,11 @@
         if self.servers[index].in_flight == 0 {
             self.refill_cold(now, index);
         }
-        let dither = self.dither(index);
+        let slot_offset = self.slot_offset(index);
         let (position, until) = self.position(now, index);
         let server = &mut self.servers[index];
         let version = self.index.groups.get(server.group).map_or(0, |group| group.version);
-        (server.dither, server.dither_version) = (dither, version);
+        (server.slot_offset, server.slot_offset_version) = (slot_offset, version);
         self.index.set(index, server, position, until);
     }
 
@@ -49,26 +51,27 @@
     /// The list has changed: `changed` are the servers that came, left, or started anew.
     pub(super) fn regroup(&mut self, now: Micros, changed: Vec<Change>) {
         let me = self.settings.me;
-        let places = self.index.apply(changed, &self.servers, |rank, members| turns(me, rank, members));
+        let offset = |rank, members| unwrapped_offset(me, rank, members);
+        let places = self.index.apply(changed, &self.servers, offset);
         places.into_iter().for_each(|place| self.reindex(now, place));
     }
 
-    pub(super) fn dither_of(&self, group: &Group, rank: usize) -> f64 {
-        turns(self.settings.me, rank, group.members.len()).fract()
+    pub(super) fn slot_offset_of(&self, group: &Group, rank: usize) -> f64 {
+        unwrapped_offset(self.settings.me, rank, group.members.len()).fract()
     }
 
     /// Its part of a turn, as of the present members of its group.
-    pub(super) fn dither(&self, index: usize) -> f64 {
+    pub(super) fn slot_offset(&self, index: usize) -> f64 {
         let server = &self.servers[index];
         let group = self.index.groups.get(server.group);
-        let group = group.filter(|group| group.version != server.dither_version);
+        let group = group.filter(|group| group.version != server.slot_offset_version);
         let rank = group.and_then(|group| Some((group, group.members.rank(server.id)?)));
-        rank.map_or(server.dither, |(group, rank)| self.dither_of(group, rank))
+        rank.map_or(server.slot_offset, |(group, rank)| self.slot_offset_of(group, rank))
     }
 }
 
-/// Spaces a proxy's dithers evenly over the servers of a zone and kind, and the proxies' evenly over each
+/// Spaces a proxy's slot offsets evenly over the servers of a zone and kind, and the proxies' over each
 /// server; whole turns don't count. Drawn by chance for each server, they left some proxies without a slot.
-fn turns(me: u32, rank: usize, members: usize) -> f64 {
-    rank as f64 / members as f64 + f64::from(me) * GOLDEN
+fn unwrapped_offset(me: u32, rank: usize, members: usize) -> f64 {
+    rank as f64 / members as f64 + f64::from(me) * GOLDEN_RATIO_FRACTION
 }
--- a/src/balancer/limits.rs
+++ b/src/balancer/limits.rs
@@ -3,7 +3,7 @@
 use super::attempts::{LATENCY_WEIGHT, SAMPLE_CAP};
 use super::{Balancer, SECOND};
 use crate::api::Micros;
-use crate::state::{LimitSource, Server, Window};
+use crate::state::{LimitSource, Server, Stamped, Window};
 
 /// The shortest window: limits follow a load that changes within seconds.
 pub(super) const WINDOW: Micros = SECOND / 4;
@@ -23,12 +23,11 @@
 const MIN_LIMIT: f64 = 1.0;
 const MAX_LIMIT: f64 = 64.0;
 /// The least and the most of its kind's limit that a report gives a server.
-const LEAST_PART: f64 = 0.1;
-const MOST_PART: f64 = 1.5;
-/// How long a report's part holds.
-const PART_HOLDS: Micros = 5 * SECOND;
+const REPORT_FACTORS: (f64, f64) = (0.1, 1.5);
+/// How long the factor of a report holds.
+const REPORT_TTL: Micros = 5 * SECOND;
 /// How long a server that was slow comes after others of the same room.
-pub(super) const PACE_HOLDS: Micros = 5 * SECOND;
+pub(super) const RECENT_TTL: Micros = 5 * SECOND;
 
 impl Balancer {
     /// Departure: a proxy with few slots meets a server once in many seconds, too seldom for windows. Where
@@ -36,17 +35,18 @@
     /// server compares with its kind: servers that are slower, for whatever cause, get less from all proxies
     /// alike. The mark fades when the server has given no answer for a while.
     pub(super) fn follow_report(&mut self, now: Micros, index: usize, report: &[f32]) {
-        let told = self.settings.report.avg_ms.and_then(|i| report.get(i)).map(|&ms| f64::from(ms));
-        let Some(told) = told.filter(|ms| ms.is_finite() && *ms > 0.0) else { return };
+        let reported_ms = self.settings.report.avg_ms.and_then(|i| report.get(i)).map(|&ms| f64::from(ms));
+        let Some(reported_ms) = reported_ms.filter(|ms| ms.is_finite() && *ms > 0.0) else { return };
         let share = self.share(self.servers[index].zone);
         let server = &mut self.servers[index];
         let common = &mut self.kinds[usize::from(server.kind)];
-        let usual = if common.service > 0.0 { common.service } else { told };
-        common.service = usual + (told.min(usual * SAMPLE_CAP) - usual) * LATENCY_WEIGHT;
-        server.part = ((usual / told).clamp(LEAST_PART, MOST_PART), now);
+        let usual = if common.service > 0.0 { common.service } else { reported_ms };
+        common.service = usual + (reported_ms.min(usual * SAMPLE_CAP) - usual) * LATENCY_WEIGHT;
+        let factor = (usual / reported_ms).clamp(REPORT_FACTORS.0, REPORT_FACTORS.1);
+        server.report_factor = Stamped { value: factor, at: now };
         if server.limit_source != LimitSource::Windows && common.limit * share < 1.0 {
             server.limit_source = LimitSource::Reported;
-            server.limit = common.limit * share * server.part.0;
+            server.limit = common.limit * share * factor;
         }
     }
 
@@ -76,16 +76,15 @@
     /// Gives a server that has a limit of its own its kind's, where it gave no sample for a while.
     fn follow_kind(&mut self, now: Micros, index: usize) {
         let common = self.common_limit(self.servers[index].zone, self.servers[index].kind);
-        let slots = self.slots(index, self.pool.spread);
+        let slots = self.slots(index, self.pool.limit_factor);
         let server = &mut self.servers[index];
         let sampled = slots > 0 || now <= server.window.since + UNSAMPLED_AFTER;
         if server.limit_source == LimitSource::Windows && sampled {
             return;
         }
-        let (part, reported_at) = server.part;
-        let reported = common < 1.0 && now < reported_at + PART_HOLDS;
+        let reported = common < 1.0 && now < server.report_factor.at + REPORT_TTL;
         server.limit_source = if reported { LimitSource::Reported } else { LimitSource::Kind };
-        server.limit = common * part;
+        server.limit = common * server.report_factor.value;
         self.reindex(now, index);
     }
 
@@ -102,10 +101,10 @@
         }
     }
 
-    /// The whole-number limit. Departure: below 1 (many proxies, small servers) the dither decides which
+    /// The whole-number limit. Departure: below 1 (many proxies, small servers) the slot_offset decides which
     /// proxies hold a slot, so that the admitted sum does not grow with their number.
-    pub(super) fn slots(&self, index: usize, part: f64) -> i64 {
-        (self.limit(index) * part + self.dither(index)).floor() as i64
+    pub(super) fn slots(&self, index: usize, factor: f64) -> i64 {
+        (self.limit(index) * factor + self.slot_offset(index)).floor() as i64
     }
 
     /// The AIMD step. Departure: a window stays open until it has enough samples, up to an age cap.
@@ -134,7 +133,7 @@
 
 impl Server {
     /// The mean of its samples of late; 0 where there are none.
-    pub(super) fn pace(&self, now: Micros) -> f64 {
-        if now < self.pace.1 + PACE_HOLDS { self.pace.0 } else { 0.0 }
+    pub(super) fn recent_latency(&self, now: Micros) -> f64 {
+        if now < self.recent.at + RECENT_TTL { self.recent.value } else { 0.0 }
     }
 }
--- a/src/balancer/membership.rs
+++ b/src/balancer/membership.rs
@@ -3,7 +3,7 @@
 use super::{Balancer, SECOND, TIMER_SUBSCRIBE};
 use crate::api::{Action, Backend, Membership, Micros, Readiness};
 use crate::index::{Change, sync};
-use crate::state::{ColdBudget, LimitSource, Server, Window};
+use crate::state::{ColdBudget, LimitSource, Server, Stamped, Window};
 
 /// All proxies together call discovery this often: when they start, and after calls that failed.
 const FIRST_CALL_EVERY: Micros = SECOND / 50;
@@ -25,7 +25,7 @@
                 (entries, true)
             }
             Membership::Failed => return self.resubscribe_later(out),
-            // Departure: what a silent subscription misses counts as told soon, so it is renewed at once.
+            // Departure: what a silent subscription misses counts as known soon, so it is renewed at once.
             Membership::Silent => return out.push(Action::Subscribe),
         };
         self.subscribe_failures = 0;
@@ -40,7 +40,7 @@
             gone.into_iter().for_each(|index| self.list(index, false, false, &mut changed));
         }
         self.regroup(now, changed);
-        self.serve_held(now, out);
+        self.serve_queue(now, out);
     }
 
     /// A call failed or the subscription broke: ask again, later each time and not all proxies at once.
@@ -86,7 +86,8 @@
         let kind = entry.kind.min(self.settings.kinds.saturating_sub(1));
         let group = self.index.group_of(entry.zone, kind);
         let &Backend { id, zone, cell, started, .. } = entry;
-        let server = Server { id, zone, kind, cell, group, started, silent_since: now, ..Server::default() };
+        let server =
+            Server { id, zone, kind, cell, group, started, unanswered_since: now, ..Server::default() };
         let index = self.servers.insert(server);
         self.restarted(now, index);
         index
@@ -108,9 +109,9 @@
         let tokens = self.rng.f64();
         let server = &mut self.servers[index];
         server.limit_source = LimitSource::Kind;
-        server.part = (1.0, now);
+        server.report_factor = Stamped { value: 1.0, at: now };
         server.window = Window { since: now, ..Window::default() };
-        server.rested.clear();
+        server.connections_used_at.clear();
         server.failures = 0.0;
         server.ejected_until = None;
         server.strikes = 0;
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -9,12 +9,12 @@
 mod attempts;
 mod cold_start;
 mod connections;
-mod holding;
 mod indexing;
 mod latency;
 mod limits;
 mod membership;
 mod outliers;
+mod queue;
 mod requests;
 mod retries;
 mod selection;
@@ -22,15 +22,15 @@
 use crate::api::{Action, Event, Micros, Settings, SettingsError};
 use crate::demand::Demand;
 use crate::index::ChoiceIndex;
-use crate::state::{CommonLimit, Latency, PeakRate, Pool, Requests, Server, Servers, Window};
+use crate::state::{CommonLimit, Latency, PeakRate, Pool, Requests, Server, Servers, Stamped, Window};
 use limits::INITIAL_LIMIT;
 use retries::RETRY_BURST;
 
 const SECOND: Micros = 1_000_000;
-/// The golden ratio's fraction spreads the proxies' dithers evenly over 0..1, whatever their number.
-const GOLDEN: f64 = 0.618_033_988_749_894_9;
+/// The golden ratio's fraction spreads the proxies' slot offsets evenly over 0..1, whatever their number.
+const GOLDEN_RATIO_FRACTION: f64 = 0.618_033_988_749_894_9;
 /// What a timer is for; the rest of its token is the request's place.
-const TIMER_HOLD: u32 = 0;
+const TIMER_QUEUE: u32 = 0;
 const TIMER_SUBSCRIBE: u32 = 1;
 
 /// The decisions of one proxy.
@@ -43,15 +43,15 @@
     /// Counts the complete lists of servers.
     generation: u32,
     open: Requests,
-    held: Vec<usize>,
+    queue: Vec<usize>,
     in_flight: u32,
     latencies: Vec<Latency>,
     /// What the servers of each kind of machine take.
     kinds: Vec<CommonLimit>,
     tenants: Demand,
     retry_tokens: f64,
-    /// How long a connection may have rested and is still used, as of a point in time.
-    rest: (f64, Micros),
+    /// How long a connection may have been idle and is still used, microseconds.
+    trusted_idle: Stamped,
     pool: Pool,
     /// Requests served a second.
     served: PeakRate,
@@ -79,14 +79,14 @@
             index: ChoiceIndex::default(),
             generation: 0,
             open: Requests::default(),
-            held: Vec::new(),
+            queue: Vec::new(),
             in_flight: 0,
             latencies,
             kinds: vec![common; kinds],
             tenants: Demand::new(rates, now),
             retry_tokens: RETRY_BURST,
-            rest: (settings.permissions.conn_idle as f64, now),
-            pool: Pool { slots: 0.0, spread: 1.0, most: u32::MAX, judged_at: None },
+            trusted_idle: Stamped { value: settings.permissions.conn_idle as f64, at: now },
+            pool: Pool { slots: 0.0, limit_factor: 1.0, max_in_flight: u32::MAX, judged_at: None },
             served: PeakRate { count: 0.0, since: now, peak: 0.0 },
             subscribe_failures: 0,
             settings,
@@ -113,22 +113,22 @@
         }
     }
 
-    /// The listed backends that it avoids now: they drain, were ejected, are silent or turned a request away.
+    /// The listed backends that it avoids now: draining, ejected, unresponsive, or full of late.
     #[must_use]
     pub fn avoided(&self, now: Micros) -> usize {
         let overdue = (0..self.settings.classes.len()).map(|c| self.overdue(c)).max().unwrap_or_default();
         let avoids = |s: &Server| {
-            !s.ready || s.ejected_until.is_some() || s.is_silent(now, overdue) || now < s.full_until
+            !s.ready || s.ejected_until.is_some() || s.is_unresponsive(now, overdue) || now < s.full_until
         };
         (0..self.servers.len()).filter(|&i| self.servers[i].listed && avoids(&self.servers[i])).count()
     }
 
     fn on_timer(&mut self, now: Micros, token: u32, out: &mut Vec<Action>) {
         let slot = (token >> 2) as usize;
-        let held = self.open.get(slot).and_then(|o| o.held_until).is_some_and(|until| until <= now);
+        let expired = self.open.get(slot).and_then(|o| o.queued_until).is_some_and(|until| until <= now);
         match token & 3 {
             TIMER_SUBSCRIBE => out.push(Action::Subscribe),
-            TIMER_HOLD if held => self.expire(now, slot, out),
+            TIMER_QUEUE if expired => self.expire(now, slot, out),
             _ => {}
         }
     }
--- a/src/balancer/requests.rs
+++ b/src/balancer/requests.rs
@@ -8,8 +8,8 @@
 
 /// A refused client waits for its aim where a proxy has this many slots, for less where it has fewer, and for
 /// this part of the aim at the least.
-const CHANCE_SLOTS: f64 = 16.0;
-const CHANCE_WAIT: f64 = 0.125;
+const FULL_RETRY_AFTER_SLOTS: f64 = 16.0;
+const MIN_RETRY_AFTER_SHARE: f64 = 0.125;
 
 impl Balancer {
     pub(super) fn on_request(&mut self, now: Micros, request: Request, out: &mut Vec<Action>) {
@@ -46,7 +46,7 @@
         if open.over_share || self.scope(now, open) == Scope::Nowhere || self.too_late(now, open) {
             return self.expire(now, slot, out);
         }
-        self.hold(now, slot, out);
+        self.enqueue(now, slot, out);
     }
 
     /// The hold is over, or there was none.
@@ -57,7 +57,7 @@
         {
             return self.send(now, slot, server, out);
         }
-        self.unhold(slot);
+        self.dequeue(slot);
         self.give_up(now, slot, out);
     }
 
@@ -88,13 +88,13 @@
     /// requests came together there, and the client's next try, likely at another proxy, can still meet the
     /// aim. With many slots to a proxy a refusal means that the fleet is full.
     pub(super) fn retry_after(&self, class: usize) -> Micros {
-        let part = (self.pool.slots / CHANCE_SLOTS).clamp(CHANCE_WAIT, 1.0);
+        let part = (self.pool.slots / FULL_RETRY_AFTER_SLOTS).clamp(MIN_RETRY_AFTER_SHARE, 1.0);
         (self.settings.classes[class].aim as f64 * part) as Micros
     }
 
     /// The request is over for the client; its place stays until its attempts have ended.
     pub(super) fn close(&mut self, slot: usize) {
-        self.unhold(slot);
+        self.dequeue(slot);
         self.open[slot].answered = true;
         if self.open[slot].out() == 0 {
             self.open[slot].attempts.iter().for_each(|a| self.servers.let_go(a.server));
--- a/src/balancer/retries.rs
+++ b/src/balancer/retries.rs
@@ -61,8 +61,8 @@
     }
 
     /// An attempt failed and the client waits: another one, if the rules and the budget allow it.
-    pub(super) fn again(&mut self, now: Micros, slot: usize, never_ran: bool, out: &mut Vec<Action>) {
-        if self.open[slot].out() > 0 || self.open[slot].held_until.is_some() {
+    pub(super) fn retry(&mut self, now: Micros, slot: usize, never_ran: bool, out: &mut Vec<Action>) {
+        if self.open[slot].out() > 0 || self.open[slot].queued_until.is_some() {
             return;
         }
         let open = &self.open[slot];
--- a/src/balancer/selection.rs
+++ b/src/balancer/selection.rs
@@ -1,6 +1,6 @@
 //! Choice of a backend: the greatest room, in the near zones first, ties at random.
 
-use super::{Balancer, GOLDEN};
+use super::{Balancer, GOLDEN_RATIO_FRACTION};
 use crate::api::{Effect, Micros};
 use crate::index::{Candidates, Group, Ties};
 use crate::state::{Scope, Server};
@@ -10,7 +10,7 @@
 mod tests;
 
 /// Servers that a proxy spreads its requests over, at the least, where its limits add up to fewer slots.
-const MIN_SPREAD: f64 = 3.0;
+const MIN_SPREAD_SERVERS: f64 = 3.0;
 /// Part of a server's limit that requests beyond their tenant's share may fill.
 const OVER_SHARE_LIMIT: f64 = 0.6;
 /// A crossing of zones that costs less than this part of a request's worth counts as free.
@@ -28,12 +28,12 @@
         };
         let slots = self.index.groups.iter().map(common).sum::<f64>();
         let slots = slots + self.index.individual.iter().map(beyond).sum::<f64>();
-        let turn = (f64::from(self.settings.me) * GOLDEN).fract();
+        let turn = (f64::from(self.settings.me) * GOLDEN_RATIO_FRACTION).fract();
         self.pool.judged_at = Some(now);
         self.pool.slots = slots;
-        self.pool.spread = if slots > 0.0 { (MIN_SPREAD / slots).max(1.0) } else { 1.0 };
-        let most = if self.pool.spread > 1.0 { (slots + slots.sqrt() + turn) as u32 } else { u32::MAX };
-        self.pool.most = most.max(1);
+        self.pool.limit_factor = if slots > 0.0 { (MIN_SPREAD_SERVERS / slots).max(1.0) } else { 1.0 };
+        let most = if self.pool.limit_factor > 1.0 { (slots + slots.sqrt() + turn) as u32 } else { u32::MAX };
+        self.pool.max_in_flight = most.max(1);
     }
 
     /// Whether a zone's servers can be sent to without a price for the way.
@@ -61,9 +61,9 @@
         let open = &self.open[slot];
         let scope = self.scope(now, open);
         // What is overdue was lost, or its server is barred for it.
-        let out = |&s: &usize| self.servers[s].due.iter().filter(|&&due| due >= now).count() as u32;
-        let bounded = self.pool.most < u32::MAX;
-        let full = bounded && self.index.scanned.iter().map(out).sum::<u32>() >= self.pool.most;
+        let out = |&s: &usize| self.servers[s].overdue_at.iter().filter(|&&at| at >= now).count() as u32;
+        let bounded = self.pool.max_in_flight < u32::MAX;
+        let full = bounded && self.index.scanned.iter().map(out).sum::<u32>() >= self.pool.max_in_flight;
         if scope == Scope::Nowhere || full {
             return None;
         }
@@ -71,9 +71,9 @@
         Some(Query {
             scope,
             repeatable,
-            soon_lost: repeatable && self.is_quick(open.class),
+            detects_loss_early: repeatable && self.is_quick(open.class),
             overdue: self.overdue(open.class),
-            part: self.pool.spread * if open.over_share { OVER_SHARE_LIMIT } else { 1.0 },
+            limit_factor: self.pool.limit_factor * if open.over_share { OVER_SHARE_LIMIT } else { 1.0 },
         })
     }
 
@@ -90,7 +90,7 @@
             for (number, group) in self.index.groups.iter().enumerate() {
                 if self.near(group.zone) == wanted
                     && query.covers(group.zone, None)
-                    && let Some((room, candidates)) = self.group_room(number, query.part)
+                    && let Some((room, candidates)) = self.group_room(number, query.limit_factor)
                 {
                     ties.offer(rank_of(room, true), candidates, rng);
                 }
@@ -122,19 +122,20 @@
         }
         // Departure: a quick attempt that its server passed over was lost on the way; it holds no slot.
         let taken = i64::from(server.in_flight) - server.passed_over() as i64;
-        let trial = server.is_silent(now, query.overdue);
-        let room = if trial { 1 } else { self.slots(index, query.part) - taken };
-        (room > 0).then(|| rank_of(room, server.pace(now) <= 1.0))
+        let trial = server.is_unresponsive(now, query.overdue);
+        let room = if trial { 1 } else { self.slots(index, query.limit_factor) - taken };
+        (room > 0).then(|| rank_of(room, server.recent_latency(now) <= 1.0))
     }
 
     /// The most room that indexed servers of a group have, and those that have it. All have the same limit,
-    /// so those of the highest dithers have a slot more than the others.
-    fn group_room(&self, number: usize, part: f64) -> Option<(i64, Candidates)> {
+    /// so those of the highest slot offsets have a slot more than the others.
+    fn group_room(&self, number: usize, factor: f64) -> Option<(i64, Candidates)> {
         let group = &self.index.groups[number];
-        let limit = self.common_limit(group.zone, group.kind) * part;
+        let limit = self.common_limit(group.zone, group.kind) * factor;
         let (least, more) = (limit.floor(), limit.floor() + 1.0);
         let expected = (limit - least) * group.members.len() as f64;
-        let highest = group.highest(expected as usize, |rank| limit + self.dither_of(group, rank) >= more);
+        let highest =
+            group.highest(expected as usize, |rank| limit + self.slot_offset_of(group, rank) >= more);
         let rooms = [(more as i64, highest), (least as i64, group.runs())];
         rooms.into_iter().filter(|(room, _)| *room > 0).find_map(|(room, runs)| {
             let count = group.count(&runs);
@@ -144,7 +145,7 @@
 
     /// The server with most of its limit left although no whole slot, for a proxy that has nothing out.
     fn spare(&self, now: Micros, query: &Query, tried: &[usize]) -> Option<usize> {
-        let left = |index: usize| self.limit(index) * query.part + self.dither(index);
+        let left = |index: usize| self.limit(index) * query.limit_factor + self.slot_offset(index);
         let compared = self.compared(query, tried);
         let compared = compared.filter(|&index| self.available(now, &self.servers[index], query));
         let groups = self.index.groups.iter().filter(|group| query.covers(group.zone, None));
@@ -155,11 +156,12 @@
     fn available(&self, now: Micros, server: &Server, query: &Query) -> bool {
         if let Some(until) = server.ejected_until {
             // Departure: an ejected server gets one trial, of a request that can be repeated.
-            return now >= until && !server.trial_out && query.repeatable;
+            return now >= until && !server.trial_in_flight && query.repeatable;
         }
-        // Departure: a server that owes answers and has been silent for long may hang: nothing more goes
+        // Departure: a server that owes answers and gave none for long may hang: nothing more goes
         // there. Where what it owes may have been lost on the way, it gets one trial that is given up soon.
-        if server.is_silent(now, query.overdue) && (server.trial_out || !query.soon_lost) {
+        if server.is_unresponsive(now, query.overdue) && (server.trial_in_flight || !query.detects_loss_early)
+        {
             return false;
         }
         // Departure: a server that turns requests away answers at once and so looks the emptiest of all. It
@@ -176,10 +178,10 @@
     scope: Scope,
     repeatable: bool,
     /// An attempt that was lost would be given up soon.
-    soon_lost: bool,
+    detects_loss_early: bool,
     overdue: Micros,
     /// The factor on limits.
-    part: f64,
+    limit_factor: f64,
 }
 
 impl Query {
--- a/src/balancer/selection/tests.rs
+++ b/src/balancer/selection/tests.rs
@@ -33,9 +33,9 @@
             eligible.iter().filter(|&&i| balancer.near(balancer.servers[i].zone) == near).filter_map(|&i| {
                 let server = &balancer.servers[i];
                 let taken = i64::from(server.in_flight) - server.passed_over() as i64;
-                let trial = server.is_silent(now, query.overdue);
-                let room = if trial { 1 } else { balancer.slots(i, query.part) - taken };
-                (room > 0).then_some((2 * room + i64::from(server.pace(now) <= 1.0), i))
+                let trial = server.is_unresponsive(now, query.overdue);
+                let room = if trial { 1 } else { balancer.slots(i, query.limit_factor) - taken };
+                (room > 0).then_some((2 * room + i64::from(server.recent_latency(now) <= 1.0), i))
             });
         let ranks: Vec<(i64, usize)> = ranks.collect();
         if let Some(&(most, _)) = ranks.iter().max() {
@@ -44,7 +44,7 @@
             );
         }
     }
-    let left = |i: usize| balancer.limit(i) * query.part + balancer.dither(i);
+    let left = |i: usize| balancer.limit(i) * query.limit_factor + balancer.slot_offset(i);
     let most = eligible.iter().map(|&i| left(i)).max_by(f64::total_cmp);
     match most {
         Some(most) if balancer.in_flight == 0 => {
@@ -242,11 +242,11 @@
         let mut attempt = |server| Attempt {
             server,
             sent_at: self.now,
-            rested: 0,
+            connection_idle: 0,
             early: false,
-            due: self.now,
+            overdue_at: self.now,
             trial: false,
-            began: false,
+            answer_began: false,
             state: if self.rng.bool() { AttemptState::NeverRan } else { AttemptState::MayHaveRun },
         };
         let attempts = tried.into_iter().map(&mut attempt).collect();
@@ -260,7 +260,7 @@
             answered: false,
             streaming: false,
             spent: false,
-            held_until: None,
+            queued_until: None,
             attempts: Vec::new(),
         });
         self.balancer.open[slot].attempts = attempts;
--- a/src/index.rs
+++ b/src/index.rs
@@ -314,13 +314,13 @@
         })
     }
 
-    /// Brings the groups up to a batch of changes. `turns` is the offset, with the whole turns before it, of a rank
+    /// Brings the groups up to a batch of changes. `unwrapped_offset` is the offset, with the whole turns before it, of a rank
     /// among so many members. Returns the places whose position has to be worked out again.
     pub(crate) fn apply(
         &mut self,
         mut batch: Vec<Change>,
         servers: &Servers,
-        turns: impl Fn(usize, usize) -> f64,
+        unwrapped_offset: impl Fn(usize, usize) -> f64,
     ) -> Vec<usize> {
         let mut places: Vec<usize> = batch.iter().map(|change| change.place).collect();
         batch.sort_unstable_by_key(|change| (change.group, change.id));
@@ -336,10 +336,10 @@
             let members = group.members.len();
             self.ready += members;
             group.version += 1;
-            let first = if members > 0 { turns(0, members) } else { 0.0 };
+            let first = if members > 0 { unwrapped_offset(0, members) } else { 0.0 };
             let next_turn = first.floor() + 1.0;
             let guess = ((next_turn - first) * members as f64) as usize;
-            group.wrap = first_rank(0..members, guess, |rank| turns(rank, members) >= next_turn);
+            group.wrap = first_rank(0..members, guess, |rank| unwrapped_offset(rank, members) >= next_turn);
             changed.push(number);
         }
         places.extend(self.scanned.iter().filter(|&&place| changed.contains(&servers[place].group)));
--- a/src/index/tests.rs
+++ b/src/index/tests.rs
@@ -98,9 +98,9 @@
             let mut servers = Servers::default();
             let group = index.group_of(0, 0);
             let batch = (0..members).map(|id| change(servers.insert(ready(id, group)), group, id)).collect();
-            let turns = |rank: usize, members: usize| rank as f64 / members as f64 + shift;
-            index.apply(batch, &servers, turns);
-            let offset = |rank: usize| turns(rank, members as usize).fract();
+            let unwrapped_offset = |rank: usize, members: usize| rank as f64 / members as f64 + shift;
+            index.apply(batch, &servers, unwrapped_offset);
+            let offset = |rank: usize| unwrapped_offset(rank, members as usize).fract();
             for (least, guess) in [(0.0, 0), (0.2, 3), (0.5, 99), (0.97, 1), (2.0, 5)] {
                 let found = index.groups[group].highest(guess, |rank| offset(rank) >= least);
                 let mut found: Vec<usize> = found.into_iter().flatten().collect();
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,13 @@
 use crate::api::{BackendId, Micros, RequestId};
 use rustc_hash::FxHashMap;
 
+/// A figure as of a point in time.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Stamped {
+    pub(crate) value: f64,
+    pub(crate) at: Micros,
+}
+
 /// The samples of one server since its limit was last judged.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Window {
@@ -59,60 +66,60 @@
     pub(crate) listed: bool,
     pub(crate) ready: bool,
     /// The attempts of open requests that name its place.
-    pub(crate) held: u32,
+    pub(crate) references: u32,
     pub(crate) started: Option<Micros>,
     pub(crate) in_flight: u32,
     /// When each of the attempts that are out is overdue.
-    pub(crate) due: Vec<Micros>,
+    pub(crate) overdue_at: Vec<Micros>,
     /// The latest send that it has answered.
     pub(crate) answered: Micros,
     pub(crate) limit_source: LimitSource,
     /// The limit of its own, where it has one.
     pub(crate) limit: f64,
-    /// Its group in the index, the dither that its rank there gives it, and the version of the group that this is of.
+    /// Its group in the index, the slot_offset that its rank there gives it, and the version of the group that this is of.
     pub(crate) group: usize,
-    pub(crate) dither: f64,
-    pub(crate) dither_version: u32,
+    pub(crate) slot_offset: f64,
+    pub(crate) slot_offset_version: u32,
     /// The last complete list that named it.
     pub(crate) seen: u32,
     /// When its position in the index is worked out again.
     pub(crate) recheck_at: Option<Micros>,
-    /// The part of its kind's limit that its last report gave it, and when.
-    pub(crate) part: (f64, Micros),
+    /// The factor on its kind's limit that its last report gave it.
+    pub(crate) report_factor: Stamped,
     pub(crate) window: Window,
-    /// A mean of its latest samples, and when the last one came.
-    pub(crate) pace: (f64, Micros),
+    /// A mean of its latest samples, as multiples of Lmax, as of the last one.
+    pub(crate) recent: Stamped,
     /// Share of failures among its latest outcomes.
     pub(crate) failures: f64,
     /// Since when it owes an answer without having given any.
-    pub(crate) silent_since: Micros,
+    pub(crate) unanswered_since: Micros,
     pub(crate) ejected_until: Option<Micros>,
     pub(crate) strikes: u32,
     /// It turned a request away and until then counts as having no room.
     pub(crate) full_until: Micros,
     /// A single request is out to see whether the server is back.
-    pub(crate) trial_out: bool,
+    pub(crate) trial_in_flight: bool,
     pub(crate) cold: Option<ColdBudget>,
     /// When each of this proxy's connections to it was last in use.
-    pub(crate) rested: Vec<Micros>,
+    pub(crate) connections_used_at: Vec<Micros>,
 }
 
 impl Server {
     /// It has owed answers for longer than `overdue` without giving any.
-    pub(crate) fn is_silent(&self, now: Micros, overdue: Micros) -> bool {
-        self.in_flight > 0 && now > self.silent_since + overdue
+    pub(crate) fn is_unresponsive(&self, now: Micros, overdue: Micros) -> bool {
+        self.in_flight > 0 && now > self.unanswered_since + overdue
     }
 
     /// The attempts that are out although it answered one that was sent when they were overdue.
     pub(crate) fn passed_over(&self) -> usize {
-        self.due.iter().filter(|&&due| due < self.answered).count()
+        self.overdue_at.iter().filter(|&&at| at < self.answered).count()
     }
 
     /// An attempt has ended.
-    pub(crate) fn ended(&mut self, due: Micros) {
+    pub(crate) fn ended(&mut self, overdue_at: Micros) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        if let Some(place) = self.due.iter().position(|&d| d == due) {
-            self.due.swap_remove(place);
+        if let Some(place) = self.overdue_at.iter().position(|&at| at == overdue_at) {
+            self.overdue_at.swap_remove(place);
         }
     }
 }
@@ -149,14 +156,14 @@
 
     /// An open request ends and names the place no longer.
     pub(crate) fn let_go(&mut self, place: usize) {
-        self.places[place].held -= 1;
+        self.places[place].references -= 1;
         self.forget_if_gone(place);
     }
 
     /// Frees the place of a server that is not listed and that no open request names.
     pub(crate) fn forget_if_gone(&mut self, place: usize) {
         let server = &self.places[place];
-        if !server.listed && server.held == 0 && self.find(server.id) == Some(place) {
+        if !server.listed && server.references == 0 && self.find(server.id) == Some(place) {
             self.by_id.remove(&server.id);
             self.places[place] = Server::default();
             self.free.push(place);
@@ -188,19 +195,35 @@
 pub(crate) struct Attempt {
     pub(crate) server: usize,
     pub(crate) sent_at: Micros,
-    /// How long its connection had rested.
-    pub(crate) rested: Micros,
+    /// How long its connection had been idle; 0 for a new one.
+    pub(crate) connection_idle: Micros,
     /// It is given up so late beside its work that it was lost then.
     pub(crate) early: bool,
     /// When it is overdue.
-    pub(crate) due: Micros,
+    pub(crate) overdue_at: Micros,
     /// It shows whether its server is back.
     pub(crate) trial: bool,
     /// Its answer flows through and has begun: its server's work is done.
-    pub(crate) began: bool,
+    pub(crate) answer_began: bool,
     pub(crate) state: AttemptState,
 }
 
+impl Attempt {
+    /// One that is sent now, on a new connection.
+    pub(crate) fn new(server: usize, now: Micros) -> Self {
+        Self {
+            server,
+            sent_at: now,
+            connection_idle: 0,
+            early: false,
+            overdue_at: now,
+            trial: false,
+            answer_began: false,
+            state: AttemptState::Out,
+        }
+    }
+}
+
 /// A request that this proxy took and whose attempts have not all ended.
 pub(crate) struct Open {
     pub(crate) id: RequestId,
@@ -213,7 +236,7 @@
     pub(crate) streaming: bool,
     /// Its body is not held any more.
     pub(crate) spent: bool,
-    pub(crate) held_until: Option<Micros>,
+    pub(crate) queued_until: Option<Micros>,
     pub(crate) attempts: Vec<Attempt>,
 }
 
@@ -234,7 +257,7 @@
             answered: false,
             streaming: false,
             spent: false,
-            held_until: None,
+            queued_until: None,
             attempts: Vec::new(),
         }
     }
@@ -258,9 +281,9 @@
     /// The sum of the limits of all ready servers.
     pub(crate) slots: f64,
     /// The factor on every limit when it is rounded to slots.
-    pub(crate) spread: f64,
+    pub(crate) limit_factor: f64,
     /// The most requests in flight.
-    pub(crate) most: u32,
+    pub(crate) max_in_flight: u32,
     pub(crate) judged_at: Option<Micros>,
 }
 
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -25,7 +25,7 @@
 fn a_place_that_a_request_names_is_not_used_again() {
     let mut servers = Servers::default();
     let first = servers.insert(listed(1));
-    servers[first].held = 2;
+    servers[first].references = 2;
     unlist(&mut servers, first);
     servers.let_go(first);
     assert_ne!(servers.insert(listed(2)), first, "one attempt still names it");
