Log structured events, those of single requests by their correlation id

Cause: log() wrote plain text and knew neither levels nor fields.

Change: the crates tracing and tracing-subscriber. EDGE_LOG filters by level and target, EDGE_LOG_FORMAT is text or json, EDGE_LOG_LINES_PER_SECOND bounds the lines (100 as before), log.filter in the configuration is read again at SIGHUP. The target tillerproxy::request tells when a request came, each attempt's start and end, and the answer. What makes no sense ends the start with one line.

Checks: the flood test is the same on the new type; three tests over real connections, three of the options. The test rig reads addresses in both formats.

--- a/src/bin/tillerproxy.rs
+++ b/src/bin/tillerproxy.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 use std::error::Error;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -16,7 +17,7 @@
 use tillerproxy::proxy::driver::{Driver, Limits};
 use tillerproxy::proxy::inherited;
 use tillerproxy::proxy::lifecycle::{Lifecycle, ShutdownTimes};
-use tillerproxy::proxy::log;
+use tillerproxy::proxy::logging::{self, LogControl, LogOptions};
 use tillerproxy::proxy::operator::Operator;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -57,23 +58,30 @@
     }
 }
 
-/// Reads the configuration again at each SIGHUP, for as long as the proxy runs, and tells where discovery is
-/// now. Serving goes on meanwhile; a file that can't be used changes nothing.
-async fn follow_configuration(mut reload: Signal, discovery: watch::Sender<SocketAddr>, shared: bool) {
+/// Reads the configuration again at each SIGHUP, for as long as the proxy runs: where discovery is now, and
+/// what is logged. Serving goes on meanwhile; a file that can't be used changes nothing.
+async fn follow_configuration(
+    mut reload: Signal,
+    discovery: watch::Sender<SocketAddr>,
+    log: LogControl,
+    shared: bool,
+) {
     while reload.recv().await.is_some() {
         match Config::from_env(shared) {
             Ok(config) => {
-                log(format_args!("read the configuration again: discovery is at {}", config.discovery));
+                log.set_filter(config.log_filter);
+                tracing::info!("read the configuration again: discovery is at {}", config.discovery);
                 discovery
                     .send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
             }
-            Err(error) => log(format_args!("kept the old configuration: {error}")),
+            Err(error) => tracing::warn!("kept the old configuration: {error}"),
         }
     }
 }
 
 async fn run(
     config: Config,
+    log: LogControl,
     inherited: Option<std::net::TcpListener>,
     signals: Signals,
 ) -> Result<(), Box<dyn Error>> {
@@ -82,7 +90,7 @@
     let calls = config.operator.map(|at| listen(at).map_err(|e| format!("cannot listen on {at}: {e}")));
     let calls = calls.transpose()?;
     if let Some(calls) = &calls {
-        log(format_args!("operators call {}", calls.local_addr()?));
+        tracing::info!("operators call {}", calls.local_addr()?);
     }
     let counters = Counters::new(&config.names.classes);
     let settings = config.settings;
@@ -101,7 +109,7 @@
         None => listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?,
     };
     let listener = Rc::new(listener);
-    log(format_args!("{} listens on {}", config.name, listener.local_addr()?));
+    tracing::info!("{} listens on {}", config.name, listener.local_addr()?);
     let balancer = Balancer::new(settings.clone(), config.seed, clock.now())?;
     let (subscribe, subscriptions) = mpsc::unbounded_channel();
     let lifecycle = Lifecycle::start();
@@ -121,7 +129,7 @@
     let clients = Clients::new(handle, clock, &settings, names, Rc::clone(&lifecycle), counters, budget);
 
     let Signals { mut stop, reload } = signals;
-    tokio::task::spawn_local(follow_configuration(reload, discovery, shared));
+    tokio::task::spawn_local(follow_configuration(reload, discovery, log, shared));
     let driver = tokio::task::spawn_local(driver.run());
     tokio::task::spawn_local(fleet.sweep());
     let accepting = tokio::task::spawn_local(Rc::clone(&clients).accept(Rc::clone(&listener)));
@@ -173,20 +181,35 @@
     }
 }
 
-fn start() -> Result<(), Box<dyn Error>> {
+fn start(log: LogControl) -> Result<(), Box<dyn Error>> {
     let inherited = inherited::from_env()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
         let signals = Signals::install()?;
-        run(Config::from_env(inherited.is_some())?, inherited, signals).await
+        let config = Config::from_env(inherited.is_some())?;
+        log.set_filter(config.log_filter.clone());
+        run(config, log, inherited, signals).await
     })
 }
 
+fn start_log() -> Result<LogControl, Box<dyn Error>> {
+    let options = LogOptions::from_env(|name| std::env::var(name).ok())?;
+    Ok(logging::init(options)?)
+}
+
 fn main() -> ExitCode {
-    match start() {
+    let log = match start_log() {
+        Ok(log) => log,
+        Err(error) => {
+            // Nobody may read standard error.
+            let _ = writeln!(std::io::stderr(), "tillerproxy: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match start(log) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            log(format_args!("tillerproxy: {error}"));
+            tracing::error!("tillerproxy: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/proxy/backends/call.rs
+++ b/src/proxy/backends/call.rs
@@ -2,12 +2,15 @@
 
 use crate::api::Outcome;
 use crate::proxy::bodies::{AnswerBody, CallBody};
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Uri};
 use std::cell::Cell;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// The id that a client gives a request, and that goes on with each attempt.
+pub const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
+
 /// Whether a request is over: its client has left or has its final answer, or its time has ended.
 #[derive(Debug, Default)]
 pub struct CancelSignal {
@@ -45,6 +48,14 @@
     pub cancel: CancelSignal,
 }
 
+impl Call {
+    /// The client's id of the request; empty where it is no text.
+    #[must_use]
+    pub fn correlation_id(&self) -> &str {
+        self.headers.get(CORRELATION_ID).and_then(|id| id.to_str().ok()).unwrap_or_default()
+    }
+}
+
 /// A backend's 200 answer.
 #[derive(Debug)]
 pub struct Served {
--- a/src/proxy/backends/connection.rs
+++ b/src/proxy/backends/connection.rs
@@ -156,6 +156,7 @@
         let generation = endpoint.generation();
         let connecting = timeout_at(until, connect(endpoint.address())).await;
         let stream = connecting.map_err(|_| ConnectError::Backend)??;
+        tracing::debug!(backend = %endpoint.address(), local = ?stream.local_addr().ok(), "connected");
         let wire = Rc::new(Wire::new(Socket::new(stream), stray_bytes, counters));
         let io = TokioIo::new(WireIo(Rc::clone(&wire)));
         let handshake = http1::Builder::new().max_buf_size(BACKEND_HEAD_CAP).handshake(io).await;
--- a/src/proxy/backends/mod.rs
+++ b/src/proxy/backends/mod.rs
@@ -27,7 +27,7 @@
 mod request;
 mod stray_bytes;
 
-pub use call::{AttemptDeadlines, AttemptResult, Call, CancelSignal, Served};
+pub use call::{AttemptDeadlines, AttemptResult, CORRELATION_ID, Call, CancelSignal, Served};
 pub use fleet::{Endpoint, Fleet};
 
 #[cfg(test)]
--- a/src/proxy/clients/headers.rs
+++ b/src/proxy/clients/headers.rs
@@ -1,9 +1,9 @@
 //! The headers of requests: those that decide what a request is, and those that go on to a backend.
 
+use crate::proxy::backends::CORRELATION_ID;
 use hyper::Uri;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 
-pub(super) const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
 pub(super) const SERVICE_CLASS: HeaderName = HeaderName::from_static("x-service-class");
 pub(super) const ACCOUNT: HeaderName = HeaderName::from_static("x-account");
 pub(super) const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
--- a/src/proxy/clients/inbound.rs
+++ b/src/proxy/clients/inbound.rs
@@ -1,12 +1,12 @@
 //! A client's request: checked, described for the balancer, and its body read as far as it is to be buffered.
 
 use super::headers::{
-    ACCOUNT, CORRELATION_ID, IDEMPOTENCY_KEY, REPEAT, SERVICE_CLASS, SINGLE_HEADERS, TIME_LEFT, WEIGHT_HINT,
-    forwarded, origin_form,
+    ACCOUNT, IDEMPOTENCY_KEY, REPEAT, SERVICE_CLASS, SINGLE_HEADERS, TIME_LEFT, WEIGHT_HINT, forwarded,
+    origin_form,
 };
 use super::{Class, Clients};
 use crate::api::Micros;
-use crate::proxy::backends::{Call, CancelSignal};
+use crate::proxy::backends::{CORRELATION_ID, Call, CancelSignal};
 use crate::proxy::bodies::{BodyBuffer, BodyDeadline, CallBody, Upload, next_data};
 use crate::proxy::budget::Reserved;
 use crate::proxy::limits::{BODY_CAP, PASS_CAP};
--- a/src/proxy/clients/mod.rs
+++ b/src/proxy/clients/mod.rs
@@ -12,7 +12,6 @@
 use super::counters::Counters;
 use super::lifecycle::Lifecycle;
 use super::limits::{ACCEPT_BACKOFF, CLIENT_HEAD_CAP};
-use super::log;
 use super::messages::Handle;
 use crate::api::{Effect, Micros, Settings};
 use hyper::Method;
@@ -119,7 +118,7 @@
                 Ok((stream, _)) => self.take(stream),
                 // Out of descriptors, or a client that is gone already: neither ends the proxy.
                 Err(error) => {
-                    log(format_args!("accept: {error}"));
+                    tracing::warn!("accept: {error}");
                     sleep(ACCEPT_BACKOFF).await;
                 }
             }
--- a/src/proxy/clients/respond.rs
+++ b/src/proxy/clients/respond.rs
@@ -1,9 +1,9 @@
 //! The answer to one request of a client.
 
 use super::Clients;
-use super::headers::{CORRELATION_ID, SERVICE_CLASS};
+use super::headers::SERVICE_CLASS;
 use crate::api::RequestId;
-use crate::proxy::backends::Served;
+use crate::proxy::backends::{CORRELATION_ID, Served};
 use crate::proxy::bodies::{AnswerBody, BodyDeadline, BufferedBody, ResponseBody};
 use crate::proxy::connections::ClientConnection;
 use crate::proxy::counters::{RequestOutcome, RequestTicket};
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -2,6 +2,7 @@
 
 use super::budget::Budget;
 use super::limits::MAX_OPERATOR_CALLS;
+use super::logging::parse_filter;
 use crate::api::{Micros, Settings, SettingsError};
 use crate::wire::parse_settings;
 use serde::Deserialize;
@@ -9,6 +10,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::{env, fmt, fs, io};
+use tracing_subscriber::filter::Targets;
 
 /// Descriptors that are neither clients nor backends: standard streams, the runtime, the listener, discovery.
 const RESERVED_SOCKETS: usize = 24;
@@ -27,6 +29,8 @@
     Malformed(serde_path_to_error::Error<serde_json::Error>),
     /// An address is missing or is none.
     Address(&'static str, String),
+    /// The filter of the log makes no sense: the filter, and what is wrong with it.
+    LogFilter(String, String),
     /// A setting makes no sense.
     Settings(SettingsError),
 }
@@ -38,6 +42,7 @@
             Self::Unreadable(path, error) => write!(f, "cannot read {}: {error}", path.display()),
             Self::Malformed(error) => write!(f, "malformed configuration: {error}"),
             Self::Address(field, given) => write!(f, "`{field}` is no address: `{given}`"),
+            Self::LogFilter(given, problem) => write!(f, "`log.filter`: `{given}` {problem}"),
             Self::Settings(error) => write!(f, "{error}"),
         }
     }
@@ -83,6 +88,8 @@
     pub dial_timeout: Micros,
     /// What the process may take of its limits.
     pub budget: Budget,
+    /// What is logged; `None`: what the environment says.
+    pub log_filter: Option<Targets>,
 }
 
 #[derive(Deserialize)]
@@ -100,6 +107,8 @@
     #[serde(default)]
     limits: RawLimits,
     #[serde(default)]
+    log: RawLog,
+    #[serde(default)]
     known: Value,
     settings: Value,
 }
@@ -112,6 +121,12 @@
     memory_mb: Option<usize>,
 }
 
+#[derive(Deserialize, Default)]
+struct RawLog {
+    #[serde(default)]
+    filter: Option<String>,
+}
+
 #[derive(Deserialize)]
 struct Named {
     #[serde(default)]
@@ -199,6 +214,7 @@
                 report: more.load_report.fields,
             },
             dial_timeout: more.permissions.dial_timeout_us.filter(|&t| t > 0).unwrap_or(DEFAULT_DIAL),
+            log_filter: raw.log.filter.map(log_filter).transpose()?,
             budget: Budget::of(sockets, memory_mb, reserved, if shared { 2 } else { 1 }),
         })
     }
@@ -210,6 +226,10 @@
     serde_path_to_error::deserialize(json).map_err(ConfigError::Malformed)
 }
 
+fn log_filter(given: String) -> Result<Targets, ConfigError> {
+    parse_filter(&given).map_err(|problem| ConfigError::LogFilter(given, problem))
+}
+
 /// The names of a list of the settings: requests are told apart by them.
 fn named(list: &str, entries: Vec<Named>) -> Result<Vec<String>, ConfigError> {
     let names: Vec<String> = entries.into_iter().map(|entry| entry.name).collect();
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -2,9 +2,9 @@
 
 use super::clock::Clock;
 use super::config::Names;
+use super::connect;
 use super::lifecycle::Lifecycle;
 use super::messages::{Handle, Listed, Message, Scope};
-use super::{connect, log};
 use crate::api::{Backend, BackendId, Readiness};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -181,7 +181,7 @@
                     }
                     entries.push(listed);
                 }
-                Err(problem) => log(format_args!("passing over an entry of the list: {problem}")),
+                Err(problem) => tracing::warn!("passing over an entry of the list: {problem}"),
             }
         }
         let list = List { revision: raw.revision, complete: raw.complete, entries };
@@ -335,7 +335,7 @@
     pub fn start_from(&mut self, known: Value) {
         let (revision, entries) = self.translator.list(&known).map_or_else(
             |error| {
-                log(format_args!("`known`: {error}"));
+                tracing::warn!("`known`: {error}");
                 (None, Vec::new())
             },
             |list| (list.complete.then_some(list.revision), list.entries),
@@ -383,7 +383,7 @@
                 }
                 Err(error) => {
                     if !failed {
-                        log(format_args!("discovery: {error}"));
+                        tracing::warn!("discovery: {error}");
                     }
                     failed = true;
                     (self.conn, self.watching) = (None, false);
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -4,8 +4,8 @@
 use super::backends::{AttemptDeadlines, AttemptResult, Call, Fleet, Served};
 use super::clock::Clock;
 use super::lifecycle::Lifecycle;
-use super::log;
 use super::messages::{Answer, Handle, Inbound, Listed, Message, Scope};
+use super::request_log;
 use crate::api::{Action, Backend, BackendId, Event, Membership, Micros, Outcome, RequestId, Settled};
 use crate::balancer::Balancer;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -169,7 +169,7 @@
         }
         open.call.cancel.trigger();
         let Some(client) = open.client.take() else { return };
-        let _ = client.send(Answer::Failed);
+        give_answer(request, client, Answer::Failed);
         self.handle_event(now, Event::ClientGone(request));
         self.remove_if_finished(request);
     }
@@ -182,6 +182,7 @@
                 if let Some(open) = self.open.get_mut(&request)
                     && open.client.take().is_some()
                 {
+                    request_log::client_left(request);
                     // Rule 1: an attempt that still waits for its connection is not sent for nobody.
                     open.call.cancel.trigger();
                     self.handle_event(now, Event::ClientGone(request));
@@ -205,6 +206,7 @@
     }
 
     fn on_request(&mut self, now: Micros, inbound: Inbound, client: oneshot::Sender<Answer>) {
+        request_log::received(&inbound);
         let Inbound { mut request, arrived, call } = inbound;
         let end = arrived.saturating_add(request.patience);
         let left = end.saturating_sub(now);
@@ -267,7 +269,7 @@
         let Some(open) = self.open.get_mut(&request) else { return };
         // Without a client it is dropped, which ends the attempt.
         let Some(client) = open.client.take() else { return };
-        let _ = client.send(Answer::Served(served));
+        give_answer(request, client, Answer::Served(served));
         let open = &self.open[&request];
         let Some(attempt) = open.attempts.get(usize::from(number)) else { return };
         let elapsed = self.elapsed(now, open, attempt);
@@ -284,12 +286,13 @@
         let open = &self.open[&request];
         let attempt = &open.attempts[usize::from(number)];
         let (backend, elapsed) = (attempt.backend, self.elapsed(now, open, attempt));
+        request_log::attempt_ended(request, number, backend, elapsed, &result);
         let Some(open) = self.open.get_mut(&request) else { return };
         // The first answer of a backend reaches the client without being asked for, as on the simulator.
         if let Some(served) = result.served
             && let Some(client) = open.client.take()
         {
-            let _ = client.send(Answer::Served(served));
+            give_answer(request, client, Answer::Served(served));
         }
         let closed = open.client.is_none();
         let (outcome, report, spent) = (result.outcome, result.report.as_slice(), result.spent);
@@ -326,7 +329,7 @@
                 }
                 Action::Probe(backend) => self.probe(backend),
                 Action::CloseIdle(backend) => self.fleet.close_idle(backend),
-                Action::Log(line) => log(format_args!("{line}")),
+                Action::Log(line) => tracing::info!("{line}"),
             }
         }
         self.actions = actions;
@@ -334,7 +337,7 @@
 
     fn answer(&mut self, request: RequestId, answer: Answer) {
         if let Some(client) = self.open.get_mut(&request).and_then(|open| open.client.take()) {
-            let _ = client.send(answer);
+            give_answer(request, client, answer);
             self.remove_if_finished(request);
         }
     }
@@ -351,6 +354,7 @@
         let number = open.attempts.len() as u16;
         let (cancel, cancelled) = oneshot::channel();
         open.attempts.push(Attempt { backend, sent_at: now, cancel: Some(cancel) });
+        request_log::attempt_started(request, number, backend, give_up_at.saturating_sub(now));
         let may_go = open.client.is_some() && usize::from(number) < self.max_attempts && give_up_at > now;
         let Some(endpoint) = self.fleet.endpoint(backend).filter(|_| may_go) else {
             let result = Outcome::Moot.into();
@@ -389,3 +393,9 @@
         });
     }
 }
+
+fn give_answer(request: RequestId, client: oneshot::Sender<Answer>, answer: Answer) {
+    request_log::answered(request, &answer);
+    // A client that has just left needs none.
+    let _ = client.send(answer);
+}
--- a/src/proxy/logging/mod.rs
+++ b/src/proxy/logging/mod.rs
@@ -1,36 +1,56 @@
-//! The log: lines on standard error.
+//! The log: structured lines on standard error, at most so many a second.
+//!
+//! Events are written with the macros of `tracing`. Those of single requests have the target
+//! [`REQUEST_TARGET`] and the level `debug`, so that they cost nothing unless the filter asks for them.
 
-use std::cell::Cell;
-use std::time::Instant;
+mod options;
+mod rate_limit;
 
-/// The lines of the log in a second; no peer can make it grow faster.
-const LOG_LINES_PER_SECOND: u32 = 100;
+pub use options::{LogFormat, LogOptions, LogOptionsError, parse_filter};
 
-thread_local! {
-    /// When the present second of the log began, and its lines so far.
-    static LOG_LINES: Cell<(Option<Instant>, u32)> = const { Cell::new((None, 0)) };
+use rate_limit::RateLimitedWriter;
+use std::fmt;
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::registry::Registry;
+use tracing_subscriber::util::{SubscriberInitExt, TryInitError};
+use tracing_subscriber::{Layer, fmt as lines, reload};
+
+/// The target of events that belong to one request.
+pub const REQUEST_TARGET: &str = "tillerproxy::request";
+
+/// Changes the log of a running process.
+pub struct LogControl {
+    filter: reload::Handle<Targets, Registry>,
+    /// What holds while the configuration names no filter.
+    default_filter: Targets,
 }
 
-/// Whether a further line of the log may be written at `now`, and how many lines before it were not.
-fn admit_line(now: Instant, lines: &Cell<(Option<Instant>, u32)>) -> Option<u32> {
-    let (began, count) = lines.get();
-    if began.is_none_or(|began| now.saturating_duration_since(began).as_secs() >= 1) {
-        lines.set((Some(now), 1));
-        return Some(count.saturating_sub(LOG_LINES_PER_SECOND));
+impl LogControl {
+    /// Writes only what passes `filter` from now on; `None` brings back the filter of the start.
+    pub fn set_filter(&self, filter: Option<Targets>) {
+        // It fails only where the subscriber is gone, and that one lives as long as the process.
+        let _ = self.filter.reload(filter.unwrap_or_else(|| self.default_filter.clone()));
     }
-    lines.set((began, count.saturating_add(1)));
-    (count < LOG_LINES_PER_SECOND).then_some(0)
 }
 
-/// A line for the operators. Unlike `eprintln!` it does not panic when nobody reads standard error.
-pub fn log(line: std::fmt::Arguments<'_>) {
-    use std::io::Write;
-    let Some(left_out) = LOG_LINES.with(|lines| admit_line(Instant::now(), lines)) else { return };
-    if left_out > 0 {
-        let _ = writeln!(std::io::stderr(), "({left_out} lines left out)");
+impl fmt::Debug for LogControl {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LogControl").field("default_filter", &self.default_filter).finish_non_exhaustive()
     }
-    let _ = writeln!(std::io::stderr(), "{line}");
 }
 
-#[cfg(test)]
-mod tests;
+/// Sends all events of the process to standard error, as the options say.
+///
+/// # Errors
+/// Where the process has a subscriber already.
+pub fn init(options: LogOptions) -> Result<LogControl, TryInitError> {
+    let writer = RateLimitedWriter::new(options.lines_per_second);
+    let layer = match options.format {
+        LogFormat::Text => lines::layer().with_ansi(false).with_writer(writer).boxed(),
+        LogFormat::Json => lines::layer().json().flatten_event(true).with_writer(writer).boxed(),
+    };
+    let (filter, handle) = reload::Layer::new(options.filter.clone());
+    tracing_subscriber::registry().with(layer.with_filter(filter)).try_init()?;
+    Ok(LogControl { filter: handle, default_filter: options.filter })
+}
--- /dev/null
+++ b/src/proxy/logging/options/tests.rs
@@ -0,0 +1,35 @@
+use super::*;
+use tracing::Level;
+
+fn options(set: &[(&str, &str)]) -> Result<LogOptions, LogOptionsError> {
+    let set: Vec<(String, String)> = set.iter().map(|&(n, v)| (n.to_owned(), v.to_owned())).collect();
+    LogOptions::from_env(|name| set.iter().find(|(n, _)| n == name).map(|(_, value)| value.clone()))
+}
+
+#[test]
+fn what_is_not_set_or_empty_keeps_its_default() {
+    let options = options(&[("EDGE_LOG", ""), ("EDGE_LOG_FORMAT", "json")]).expect("options");
+    assert_eq!((options.format, options.lines_per_second), (LogFormat::Json, DEFAULT_LINES_PER_SECOND));
+    assert!(options.filter.would_enable("tillerproxy", &Level::INFO));
+    assert!(!options.filter.would_enable("tillerproxy", &Level::DEBUG));
+}
+
+#[test]
+fn a_filter_names_levels_by_target() {
+    let options = options(&[("EDGE_LOG", "warn,tillerproxy::request=debug")]).expect("options");
+    assert!(options.filter.would_enable("tillerproxy::request", &Level::DEBUG));
+    assert!(!options.filter.would_enable("tillerproxy::proxy::driver", &Level::INFO));
+}
+
+#[test]
+fn a_variable_that_makes_no_sense_is_named_with_its_value() {
+    for (name, value, problem) in [
+        ("EDGE_LOG", "tillerproxy=loud", "is no filter"),
+        ("EDGE_LOG_FORMAT", "xml", "must be `text` or `json`"),
+        ("EDGE_LOG_LINES_PER_SECOND", "0", "must be above 0"),
+        ("EDGE_LOG_LINES_PER_SECOND", "many", "must be a whole number"),
+    ] {
+        let error = options(&[(name, value)]).expect_err("an error").to_string();
+        assert!(error.starts_with(&format!("{name}: `{value}` {problem}")), "{error}");
+    }
+}
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -16,12 +16,12 @@
 pub mod inherited;
 pub mod lifecycle;
 pub mod limits;
-mod logging;
+pub mod logging;
 pub mod messages;
 pub mod operator;
 pub mod read_ahead;
+mod request_log;
 mod responses;
 pub mod socket;
 
 use dial::connect;
-pub use logging::log;
--- a/src/proxy/operator.rs
+++ b/src/proxy/operator.rs
@@ -5,7 +5,6 @@
 use super::counters::Counters;
 use super::lifecycle::{IsStopping, Lifecycle};
 use super::limits::{ACCEPT_BACKOFF, MAX_OPERATOR_CALLS};
-use super::log;
 use super::messages::{Handle, Message};
 use super::responses::{Rejection, plain};
 use super::socket::Socket;
@@ -67,7 +66,7 @@
             let stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
                 Err(error) => {
-                    log(format_args!("accept of a call: {error}"));
+                    tracing::warn!("accept of a call: {error}");
                     sleep(ACCEPT_BACKOFF).await;
                     continue;
                 }
@@ -136,7 +135,7 @@
     }
 
     fn done(&self, what: &str, done: Result<(), IsStopping>) -> Result<Answer, Rejection> {
-        log(format_args!("an operator wants the proxy {what}: {:?}", self.lifecycle.stage()));
+        tracing::info!("an operator wants the proxy {what}: {:?}", self.lifecycle.stage());
         done.map_err(|IsStopping| Rejection::new(StatusCode::CONFLICT, "the process ends\n"))?;
         Ok(plain(StatusCode::OK, "done\n"))
     }
--- /dev/null
+++ b/tests/proxy/logging.rs
@@ -0,0 +1,82 @@
+//! The log as operators see it: what passes its filter, its format, and the course of one request.
+
+use crate::UP;
+use crate::rig::*;
+use serde_json::Value;
+use std::process::Stdio;
+
+/// Starts the program with variables for its log.
+fn start_logging(name: &str, discovery: &Discovery, variables: &[(&str, &str)]) -> Proxy {
+    let mut command = command(name, &config(name, discovery).to_string());
+    command.envs(variables.iter().copied());
+    Proxy::follow(name, command.spawn().expect("the program starts"))
+}
+
+#[test]
+fn the_course_of_a_request_can_be_followed_by_its_correlation_id() {
+    let discovery = Discovery::start();
+    let failing = Backend::start(|_| Reply::Write(answer("500 No", "", b"")));
+    let variables = [("EDGE_LOG", "info,tillerproxy::request=debug"), ("EDGE_LOG_FORMAT", "json")];
+    let mut proxy = start_logging("log-course", &discovery, &variables);
+    discovery.post(true, &[entry("s-1", failing.address, "active", 0)]);
+    while proxy.client().ask(UP).status() != 200 {}
+    assert_eq!(proxy.client().ask(&request("charge", "9b1f03aa", "x")).status(), 502);
+    proxy.terminate();
+    let log = proxy.rest_of_log();
+    let lines: Vec<Value> = log.lines().map(|line| serde_json::from_str(line).expect("JSON")).collect();
+    let received = lines.iter().find(|line| line["correlation_id"] == "9b1f03aa").expect("it was received");
+    let course: Vec<&str> = lines
+        .iter()
+        .filter(|line| line["request"] == received["request"])
+        .map(|line| line["message"].as_str().expect("a message"))
+        .collect();
+    assert_eq!(course, ["received", "attempt started", "attempt ended", "answered"]);
+    let answered = lines.iter().find(|line| line["message"] == "answered").expect("an answer");
+    assert_eq!(answered["answer"], "failed");
+}
+
+#[test]
+fn a_new_configuration_changes_what_is_logged_and_one_without_a_filter_brings_the_old_one_back() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("fine"));
+    let mut proxy = start_logging("log-reload", &discovery, &[("EDGE_LOG", "info")]);
+    discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+    while proxy.client().ask(UP).status() != 200 {}
+    let plain = config("log-reload", &discovery);
+    let mut verbose = plain.clone();
+    verbose["log"] = serde_json::json!({"filter": "info,tillerproxy::request=debug"});
+    for (id, configuration) in [("quiet", None), ("loud", Some(&verbose)), ("again", Some(&plain))] {
+        if let Some(configuration) = configuration {
+            proxy.reload(&configuration.to_string());
+            proxy.wait_for_log("read the configuration again");
+        }
+        assert_eq!(proxy.client().ask(&request("submit", id, "x")).status(), 200);
+        if id == "loud" {
+            proxy.wait_for_log("correlation_id=\"loud\"");
+        }
+    }
+    proxy.terminate();
+    let rest = proxy.rest_of_log();
+    assert!(!rest.contains("correlation_id"), "{rest}");
+}
+
+#[test]
+fn options_of_the_log_that_make_no_sense_end_the_start_with_one_line() {
+    let discovery = Discovery::start();
+    let start = |configuration: &Value, variable: Option<(&str, &str)>| {
+        let mut command = command("log-odd", &configuration.to_string());
+        command.envs(variable).stdin(Stdio::null());
+        let output = command.output().expect("it ends");
+        assert_eq!(output.status.code(), Some(1));
+        let text = String::from_utf8(output.stderr).expect("text");
+        assert_eq!(text.lines().count(), 1, "{text}");
+        text
+    };
+    let plain = config("log-odd", &discovery);
+    let text = start(&plain, Some(("EDGE_LOG_FORMAT", "xml")));
+    assert!(text.contains("EDGE_LOG_FORMAT: `xml` must be `text` or `json`"), "{text}");
+    let mut odd = plain.clone();
+    odd["log"] = serde_json::json!({"filter": "tillerproxy=loud"});
+    let text = start(&odd, None);
+    assert!(text.contains("`log.filter`: `tillerproxy=loud` is no filter"), "{text}");
+}
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -1,6 +1,7 @@
 //! The proxy's program over loopback sockets: what must hold whatever backends and clients do.
 
 mod forms;
+mod logging;
 mod moments;
 mod operating;
 mod pressure;
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -381,6 +381,12 @@
     Proxy::follow(name, command.spawn().expect("the program starts"))
 }
 
+/// The address behind these words of a line of the log, in either of its formats.
+fn address_behind(line: &str, words: &str) -> Option<SocketAddr> {
+    let (_, rest) = line.trim().split_once(words)?;
+    rest.split('"').next()?.parse().ok()
+}
+
 impl Proxy {
     /// A proxy that is up with these backends.
     pub fn start(name: &str, discovery: &Discovery, members: &[Value]) -> Self {
@@ -409,18 +415,18 @@
     }
 
     /// A proxy that was started: its addresses are in its log.
-    fn follow(name: &str, mut child: Child) -> Self {
+    pub fn follow(name: &str, mut child: Child) -> Self {
         let mut operator = None;
         let mut log = BufReader::new(child.stderr.take().expect("standard error"));
         let mut line = String::new();
         let address = loop {
             line.clear();
             assert_ne!(log.read_line(&mut line).expect("a log"), 0, "the proxy ended before it listened");
-            if let Some((_, address)) = line.trim().rsplit_once("operators call ") {
-                operator = Some(address.parse().expect("an address"));
+            if let Some(address) = address_behind(&line, "operators call ") {
+                operator = Some(address);
             }
-            if let Some((_, address)) = line.trim().rsplit_once("listens on ") {
-                break address.parse().expect("an address");
+            if let Some(address) = address_behind(&line, "listens on ") {
+                break address;
             }
         };
         Self { child, address, operator, name: name.into(), log }
