Fail the test rig on an address that is none, and end its proxy when a test fails early

Cause: since the rig passed over a line whose address it could not read, where it failed before; and a panic before the proxy was listening left its process behind, which held the runner's output open (two runs hung for 20 minutes).

--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -383,8 +383,9 @@
 
 /// The address behind these words of a line of the log, in either of its formats.
 fn address_behind(line: &str, words: &str) -> Option<SocketAddr> {
-    let (_, rest) = line.trim().split_once(words)?;
-    rest.split('"').next()?.parse().ok()
+    let (_, rest) = line.trim().rsplit_once(words)?;
+    let address = rest.split('"').next().unwrap_or_default();
+    Some(address.parse().expect("an address"))
 }
 
 impl Proxy {
@@ -416,20 +417,22 @@
 
     /// A proxy that was started: its addresses are in its log.
     pub fn follow(name: &str, mut child: Child) -> Self {
-        let mut operator = None;
-        let mut log = BufReader::new(child.stderr.take().expect("standard error"));
+        let log = BufReader::new(child.stderr.take().expect("standard error"));
+        let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
+        // From here on the process ends with the test, also where the log is not what is wanted.
+        let mut proxy = Self { child, address: unknown, operator: None, name: name.into(), log };
         let mut line = String::new();
-        let address = loop {
+        while proxy.address == unknown {
             line.clear();
-            assert_ne!(log.read_line(&mut line).expect("a log"), 0, "the proxy ended before it listened");
-            if let Some(address) = address_behind(&line, "operators call ") {
-                operator = Some(address);
-            }
-            if let Some(address) = address_behind(&line, "listens on ") {
-                break address;
-            }
-        };
-        Self { child, address, operator, name: name.into(), log }
+            assert_ne!(
+                proxy.log.read_line(&mut line).expect("a log"),
+                0,
+                "the proxy ended before it listened"
+            );
+            proxy.operator = address_behind(&line, "operators call ").or(proxy.operator);
+            proxy.address = address_behind(&line, "listens on ").unwrap_or(proxy.address);
+        }
+        proxy
     }
 
     pub fn client(&self) -> Client {
