--- a/src/proxy/backends/backend_connections.rs
+++ b/src/proxy/backends/backend_connections.rs
@@ -5,6 +5,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// A connection that no attempt or health check uses.
@@ -22,7 +23,7 @@
     /// Number of times that the backend restarted, changed its address or was removed. A connection of an earlier
     /// generation is not used again.
     generation: Cell<u64>,
-    /// The idle connections, the most recently used one last.
+    /// The idle connections, the one that has been idle for longest first.
     idle: RefCell<Vec<IdleConnection>>,
 }
 
@@ -78,14 +79,22 @@
         self.close_idle();
     }
 
-    /// Adds an idle connection as the most recently used one.
-    pub(super) fn push_idle(&self, idle: IdleConnection) {
-        self.idle.borrow_mut().push(idle);
+    /// Adds an idle connection.
+    pub(super) fn add_idle(&self, added: IdleConnection) {
+        let mut idle = self.idle.borrow_mut();
+        let position = idle.partition_point(|other| other.since <= added.since);
+        idle.insert(position, added);
     }
 
-    /// Removes and returns the most recently used idle connection; `None` if no connection is idle.
-    pub(super) fn pop_idle(&self) -> Option<IdleConnection> {
-        self.idle.borrow_mut().pop()
+    /// Removes and returns the most recently used one of the connections that have been idle for at least `rest`, or
+    /// else the one that has been idle for longest; `None` if no connection is idle.
+    pub(super) fn take_idle(&self, rest: Duration) -> Option<IdleConnection> {
+        let mut idle = self.idle.borrow_mut();
+        if idle.is_empty() {
+            return None;
+        }
+        let rested = idle.partition_point(|connection| connection.since.elapsed() >= rest);
+        Some(idle.remove(rested.saturating_sub(1)))
     }
 
     /// Closes the idle connections for which `keep` returns false.
--- a/src/proxy/backends/connection.rs
+++ b/src/proxy/backends/connection.rs
@@ -21,8 +21,8 @@
 /// The state of the exchange on a connection.
 #[derive(Clone, Copy)]
 enum ExchangeState {
-    /// No request is in flight; bytes that arrive belong to no request.
-    Idle,
+    /// No request has been in flight since then; bytes that arrive belong to no request.
+    Idle { since: Instant },
     /// A request is being written. It is completely written once `complete_at` bytes were written on the connection,
     /// those of earlier requests included.
     Writing { complete_at: u64 },
@@ -32,6 +32,7 @@
 
 /// The socket of a connection to a backend, with the number of bytes written to it and the state of its exchange.
 pub(super) struct BackendSocket {
+    backend: SocketAddr,
     socket: Socket,
     /// Number of bytes written for all requests.
     written: Cell<u64>,
@@ -41,11 +42,20 @@
 }
 
 impl BackendSocket {
-    fn new(socket: Socket, stray_bytes: Rc<StrayBytes>, counters: Rc<Counters>) -> Self {
+    fn new(
+        backend: SocketAddr,
+        socket: Socket,
+        stray_bytes: Rc<StrayBytes>,
+        counters: Rc<Counters>,
+    ) -> Self {
+        let idle = ExchangeState::Idle {
+            since: Instant::now(),
+        };
         Self {
+            backend,
             socket,
             written: Cell::new(0),
-            state: Cell::new(ExchangeState::Idle),
+            state: Cell::new(idle),
             stray_bytes,
             counters,
         }
@@ -67,7 +77,18 @@
 
     /// Ends the exchange: bytes that arrive from now on belong to no request.
     fn end_request(&self) {
-        self.state.set(ExchangeState::Idle);
+        self.state.set(ExchangeState::Idle {
+            since: Instant::now(),
+        });
+    }
+
+    /// Records that bytes have arrived, if no request is in flight to which they could belong.
+    fn record_stray_bytes(&self) {
+        if let ExchangeState::Idle { since } = self.state.get() {
+            let delay = since.elapsed();
+            tracing::debug!(backend = %self.backend, ?delay, "bytes without a request");
+            self.stray_bytes.record(delay);
+        }
     }
 
     /// Adds to the number of written bytes, and counts the attempt ([`Counters::record_attempt`]) once its request is
@@ -89,9 +110,7 @@
     }
 
     fn on_read(&self, _: &[u8]) {
-        if matches!(self.state.get(), ExchangeState::Idle) {
-            self.stray_bytes.record();
-        }
+        self.record_stray_bytes();
     }
 
     fn on_write(&self, written: &Poll<io::Result<usize>>) {
@@ -160,6 +179,7 @@
             .map_err(BackendError::from_connect)?;
         tracing::debug!(backend = %address, local = ?stream.local_addr().ok(), "connected");
         let socket = Rc::new(BackendSocket::new(
+            address,
             Socket::new(stream),
             Rc::clone(&self.stray_bytes),
             Rc::clone(&self.counters),
@@ -217,9 +237,14 @@
         self.sender.is_closed()
     }
 
-    /// Returns what has arrived on the socket and has not been read yet.
-    pub(super) fn unread(&self) -> Unread {
-        self.socket.socket.unread()
+    /// Returns whether nothing has arrived on the connection since its last response, neither stray bytes, which are
+    /// recorded, nor its end.
+    pub(super) fn is_quiet(&self) -> bool {
+        let unread = self.socket.socket.unread();
+        if unread == Unread::Bytes {
+            self.socket.record_stray_bytes();
+        }
+        unread == Unread::Nothing
     }
 }
 
--- a/src/proxy/backends/pool.rs
+++ b/src/proxy/backends/pool.rs
@@ -8,7 +8,6 @@
 use super::error::BackendError;
 use super::listed_backends::ListedBackends;
 use crate::proxy::counters::Counters;
-use crate::proxy::socket::Unread;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -21,6 +20,9 @@
 /// Time before the end of the backend's idle timeout at which the pool stops using an idle connection: the backend's
 /// timeout starts earlier than the proxy's.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Idle time that a connection should have before it is used again, if there are several to choose from. It is longer
+/// than the reuse delay, in case a second response arrives after that.
+const PREFERRED_REST: Duration = Duration::from_millis(100);
 
 /// The limits of a [`ConnectionPool`].
 pub(super) struct PoolLimits {
@@ -99,7 +101,7 @@
         tokio::task::spawn_local(async move {
             let ready = timeout(READY_TIMEOUT, connection.ready()).await;
             if matches!(ready, Ok(Ok(()))) && backend.generation() == connection.generation {
-                backend.push_idle(IdleConnection {
+                backend.add_idle(IdleConnection {
                     connection,
                     since: Instant::now(),
                 });
@@ -112,23 +114,15 @@
         !idle.connection.is_closed() && idle.since.elapsed() < self.max_idle
     }
 
-    /// Returns whether a connection is clean, as the module documentation defines it, and records the arrival of stray
-    /// bytes.
+    /// Returns whether a connection is clean, as the module documentation defines it.
     fn is_clean(&self, idle: &IdleConnection) -> bool {
-        if !self.is_usable(idle) || !idle.connection.is_ready() {
-            return false;
-        }
-        let unread = idle.connection.unread();
-        if unread == Unread::Bytes {
-            self.connector.stray_bytes().record();
-        }
-        unread == Unread::Nothing
+        self.is_usable(idle) && idle.connection.is_ready() && idle.connection.is_quiet()
     }
 
-    /// Takes the most recently used clean connection; `None` if there is none. Connections that are not needed
-    /// therefore stay idle and are closed.
+    /// Takes a clean connection; `None` if there is none. It is the most recently used one of those that have been idle
+    /// for [`PREFERRED_REST`], so that connections that are not needed stay idle and are closed.
     fn take_idle(&self, backend: &BackendConnections) -> Option<IdleConnection> {
-        while let Some(idle) = backend.pop_idle() {
+        while let Some(idle) = backend.take_idle(PREFERRED_REST) {
             if self.is_clean(&idle) {
                 return Some(idle);
             }
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{HeaderMap, Method, Uri};
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tillerproxy::api::{BackendId, Outcome, Readiness};
@@ -13,20 +14,18 @@
 };
 use tillerproxy::proxy::bodies::{BufferedBody, CallBody, ResponseBody, ServedBody};
 use tillerproxy::proxy::counters::Counters;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
+use tokio::sync::{Mutex, oneshot};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
 
 /// Id of the only backend.
 const BACKEND: BackendId = BackendId(7);
 
-/// Time between the first response to a request and the second.
-const SECOND_RESPONSE_DELAY: Duration = Duration::from_millis(5);
-
 /// Reads the head of a request; returns `None` at the end of the connection.
-async fn read_head(stream: &mut TcpStream) -> Option<String> {
+async fn read_head(stream: &mut (impl AsyncRead + Unpin)) -> Option<String> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.ok()?);
@@ -34,26 +33,58 @@
     Some(String::from_utf8(head).expect("the proxy sends an ASCII head"))
 }
 
-/// Serves a connection: responds to each request with its path, and again after [`SECOND_RESPONSE_DELAY`].
-async fn respond_twice(mut stream: TcpStream) {
-    while let Some(head) = read_head(&mut stream).await {
-        let path = head
-            .split(' ')
-            .nth(1)
-            .expect("a request line has a path after its method");
-        let response = format!(
-            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{path}",
-            path.len()
-        );
-        for _ in 0..2 {
-            if stream.write_all(response.as_bytes()).await.is_err() {
+/// A backend that responds to each request with its path, and to some of them twice.
+#[derive(Clone, Copy)]
+struct RepeatingBackend {
+    /// Time from a request to its first response.
+    work: Duration,
+    /// Time from the first response to the second.
+    delay: Duration,
+    /// Every such request of a connection, counted from the first, gets a second response.
+    repeated: usize,
+}
+
+impl RepeatingBackend {
+    /// Serves a connection. Second responses are sent by a task of their own, so that they do not delay other responses.
+    async fn serve(self, stream: TcpStream) {
+        let (mut reader, writer) = stream.into_split();
+        let writer = Rc::new(Mutex::new(writer));
+        let mut count = 0;
+        while let Some(head) = read_head(&mut reader).await {
+            let path = head
+                .split(' ')
+                .nth(1)
+                .expect("a request line has a path after its method");
+            let response = response_with(path);
+            sleep(self.work).await;
+            if write_shared(&writer, &response).await.is_err() {
                 return;
             }
-            sleep(SECOND_RESPONSE_DELAY).await;
+            if count % self.repeated == 0 {
+                let writer = Rc::clone(&writer);
+                spawn_local(async move {
+                    sleep(self.delay).await;
+                    let _ = write_shared(&writer, &response).await;
+                });
+            }
+            count += 1;
         }
     }
 }
 
+/// Returns a 200 response with this body.
+fn response_with(body: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Writes to a socket that several tasks share.
+async fn write_shared(writer: &Mutex<OwnedWriteHalf>, text: &str) -> io::Result<()> {
+    writer.lock().await.write_all(text.as_bytes()).await
+}
+
 /// Returns a GET request with an empty body.
 fn get_request(path: &'static str) -> Rc<Call> {
     Rc::new(Call {
@@ -122,19 +153,63 @@
     String::from_utf8(body.joined()).expect("the backend sends ASCII")
 }
 
+/// Guards against second responses that are later than the shortest reuse delay: after one of them, connections are
+/// reused later.
 #[tokio::test(start_paused = true)]
 async fn a_second_response_on_a_connection_is_not_used_for_a_later_request() {
-    let test = async {
-        let backend_client = start_backend(respond_twice).await;
-        assert_eq!(get(&backend_client, "/first").await, "/first");
-        // The second response arrives while no request is in flight, so the client detects that the response answers no
-        // request.
-        sleep(2 * SECOND_RESPONSE_DELAY).await;
-        for path in ["/second", "/third", "/fourth"] {
-            assert_eq!(get(&backend_client, path).await, path);
-        }
+    for delay in [5, 20, 45].map(Duration::from_millis) {
+        LocalSet::new().run_until(check_after_warning(delay)).await;
+    }
+}
+
+/// Sends requests without a pause to a backend that sends second responses after `delay`, once the client has detected
+/// one, and checks that each gets its own response.
+async fn check_after_warning(delay: Duration) {
+    let backend = RepeatingBackend {
+        work: Duration::ZERO,
+        delay,
+        repeated: 1,
     };
-    LocalSet::new().run_until(test).await;
+    let backend_client = start_backend(move |stream| backend.serve(stream)).await;
+    assert_eq!(get(&backend_client, "/first").await, "/first");
+    // The second response arrives while no request is in flight, so the client detects that the response answers no
+    // request.
+    sleep(2 * delay).await;
+    for path in ["/second", "/third", "/fourth"] {
+        assert_eq!(get(&backend_client, path).await, path, "delay {delay:?}");
+    }
+}
+
+/// Guards against the first second response of a process being taken for the response to the next request on its
+/// connection: no earlier second response has warned the client of it.
+#[tokio::test(start_paused = true)]
+async fn the_first_second_response_is_not_used_for_the_request_that_follows_at_once() {
+    for delay in (1..10).map(Duration::from_millis) {
+        for work in [0, 1, 3, 20].map(Duration::from_millis) {
+            let backend = RepeatingBackend {
+                work,
+                delay,
+                repeated: 5,
+            };
+            LocalSet::new()
+                .run_until(check_consecutive_requests(backend))
+                .await;
+        }
+    }
+}
+
+/// Sends requests one after another without a pause, and checks that each gets its own response.
+async fn check_consecutive_requests(backend: RepeatingBackend) {
+    let backend_client = start_backend(move |stream| backend.serve(stream)).await;
+    for path in ["/0", "/1", "/2", "/3", "/4", "/5", "/6", "/7", "/8", "/9"] {
+        assert_eq!(
+            get(&backend_client, path).await,
+            path,
+            "work {:?}, delay {:?}",
+            backend.work,
+            backend.delay
+        );
+    }
 }
 
 /// A chunked response and the rate at which its client reads it.
