--- a/src/proxy/connections/tests.rs
+++ b/src/proxy/connections/tests.rs
@@ -1,4 +1,6 @@
+use super::eviction::ACTIVE_WINDOW;
 use super::*;
+use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
 
 const HEAD: &[u8] = b"GET /up HTTP/1.1\r\n\r\n";
