Cut off a request body whose client pauses for more than 1.5 s

What callers saw: a client that sent half of a body at once and stayed kept its connection for 18 s (1 MiB: 34 s); bad clients are owed an error or a close within 3 s.

Cause: BodyDeadline granted the time that all bytes received so far take at 32 KiB/s, without a limit.

Evidence: the new test fails before the change: "the client was left for 18.501185796s".

Change: a wait allowance. It begins as the same grace period; waiting for the client uses it up, bytes restore it at 32 KiB/s up to 1.5 s. Time in which the proxy does not read, because the backend takes nothing, is not counted any more.

--- a/src/proxy/bodies/mod.rs
+++ b/src/proxy/bodies/mod.rs
@@ -7,7 +7,8 @@
 //! | `upload`, `streamed` | streamed bodies of requests; streamed bodies of responses |
 //! | `stream` | length and errors of streamed bodies |
 //! | `message_bodies` | the bodies of requests, attempts and responses, each buffered or streamed |
-//! | `deadline` | the deadline by which the next bytes of a body must arrive |
+//! | `wait_allowance` | the time for which the receiver of a request body still waits for its sender |
+//! | `deadline` | the deadline by which the next bytes of a response body must arrive |
 
 mod buffered;
 mod deadline;
@@ -15,6 +16,7 @@
 mod stream;
 mod streamed;
 mod upload;
+mod wait_allowance;
 
 pub use buffered::{BodyBuffer, BufferedBody};
 pub use deadline::BodyDeadline;
@@ -24,6 +26,7 @@
 pub use stream::BodyError;
 pub use streamed::{ReceiverClosed, ResponseSender, StreamedResponse};
 pub use upload::{Upload, UploadProgress};
+pub use wait_allowance::WaitAllowance;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
--- a/src/proxy/bodies/upload.rs
+++ b/src/proxy/bodies/upload.rs
@@ -1,7 +1,7 @@
 //! Request bodies that are streamed from a client to a backend.
 
 use super::stream::{BodyError, FramePoll, StreamLength};
-use super::{BodyDeadline, BufferedBody};
+use super::{BufferedBody, WaitAllowance};
 use crate::proxy::budget::Reservation;
 use crate::proxy::counters::Counters;
 use crate::proxy::size_limits::MAX_FORWARDED_BODY_BYTES;
@@ -83,7 +83,7 @@
     /// Memory for `first`, one reservation for each piece.
     reserved: Vec<Reservation>,
     rest: Incoming,
-    deadline: BodyDeadline,
+    allowance: WaitAllowance,
     sleep: Pin<Box<Sleep>>,
     length: StreamLength,
     pub(super) progress: Rc<UploadProgress>,
@@ -97,7 +97,7 @@
         first: BufferedBody,
         reserved: Vec<Reservation>,
         rest: Incoming,
-        deadline: BodyDeadline,
+        allowance: WaitAllowance,
         counters: Rc<Counters>,
     ) -> Self {
         let received = first.remaining;
@@ -106,8 +106,8 @@
             first,
             reserved,
             rest,
-            deadline,
-            sleep: Box::pin(sleep_until(deadline.after_receiving(received))),
+            allowance,
+            sleep: Box::pin(sleep_until(Instant::now())),
             length: StreamLength::new(total),
             progress: Rc::default(),
             counters,
@@ -149,8 +149,8 @@
 
     /// Ends the body with an error once its deadline has passed.
     fn poll_deadline(&mut self, cx: &mut Context<'_>) -> FramePoll {
-        let deadline = self.deadline.after_receiving(self.length.forwarded());
-        if self.sleep.deadline() < deadline {
+        let deadline = self.allowance.begin_wait();
+        if self.sleep.deadline() != deadline {
             self.sleep.as_mut().reset(deadline);
         }
         ready!(self.sleep.as_mut().poll(cx));
@@ -174,6 +174,7 @@
                 Poll::Ready(Some(Ok(frame))) => {
                     // Trailers are not forwarded, because backends do not need them.
                     if let Ok(data) = frame.into_data() {
+                        self.allowance.receive(data.len());
                         return self.forward(data);
                     }
                 }
--- a/src/proxy/clients/inbound.rs
+++ b/src/proxy/clients/inbound.rs
@@ -8,7 +8,7 @@
 use super::{Class, Clients};
 use crate::api::{Micros, TenantIndex};
 use crate::proxy::backends::{CORRELATION_ID, Call, RequestEnded};
-use crate::proxy::bodies::{BodyBuffer, BodyDeadline, CallBody, Upload, next_data};
+use crate::proxy::bodies::{BodyBuffer, CallBody, Upload, WaitAllowance, next_data};
 use crate::proxy::budget::Reservation;
 use crate::proxy::clock::MICROS_PER_MILLI;
 use crate::proxy::header_values::{REMAINING_TIME_MS, parse_decimal};
@@ -37,14 +37,14 @@
     pub(super) async fn read_request(
         &self,
         request: Request<Incoming>,
-        deadline: BodyDeadline,
+        allowance: WaitAllowance,
     ) -> Result<InboundRequest, InvalidRequest> {
         let (head, body) = request.into_parts();
         if body.size_hint().lower() > MAX_FORWARDED_BODY_BYTES {
             return Err(InvalidRequest::BodyTooLarge);
         }
         let mut request = self.describe(&head)?;
-        let body = self.read_body(body, deadline).await?;
+        let body = self.read_body(body, allowance).await?;
         let (target, headers) = origin_form(head.uri, end_to_end_headers(head.headers));
         let call = Call {
             method: head.method,
@@ -71,7 +71,7 @@
     async fn read_body(
         &self,
         mut body: Incoming,
-        deadline: BodyDeadline,
+        mut allowance: WaitAllowance,
     ) -> Result<CallBody, InvalidRequest> {
         let may_fit = body
             .size_hint()
@@ -80,20 +80,20 @@
         let mut buffer = BodyBuffer::default();
         let mut reserved = Vec::new();
         while may_fit && buffer.len() <= MAX_BUFFERED_BYTES {
-            let late_at = deadline.after_receiving(buffer.len() as u64);
-            let received = timeout_at(late_at, next_data(&mut body))
+            let received = timeout_at(allowance.begin_wait(), next_data(&mut body))
                 .await
                 .map_err(|_| InvalidRequest::BodyTimedOut)?;
             let Some(data) = received? else {
                 return Ok(CallBody::Buffered(buffer.take(), reserved));
             };
+            allowance.receive(data.len());
             buffer.add(data);
             if !self.reserve_memory(buffer.len(), &mut reserved) {
                 break;
             }
         }
         let counters = Rc::clone(&self.counters);
-        Ok(Upload::new(buffer.take(), reserved, body, deadline, counters).into())
+        Ok(Upload::new(buffer.take(), reserved, body, allowance, counters).into())
     }
 
     /// Reserves memory for `buffered` bytes of a body, and returns whether enough was available. The memory is reserved
--- a/src/proxy/clients/respond.rs
+++ b/src/proxy/clients/respond.rs
@@ -5,7 +5,7 @@
 use super::headers::SERVICE_CLASS;
 use crate::api::RequestId;
 use crate::proxy::backends::{CORRELATION_ID, ServedResponse};
-use crate::proxy::bodies::{BodyDeadline, BufferedBody, ResponseBody, ServedBody};
+use crate::proxy::bodies::{BufferedBody, ResponseBody, ServedBody, WaitAllowance};
 use crate::proxy::connections::ClientConnection;
 use crate::proxy::counters::{RequestGuard, RequestOutcome};
 use crate::proxy::messages::{Answer, DriverHandle, InboundRequest, Message};
@@ -21,8 +21,8 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-/// The minimum grace period of a request body after the head, even if the head was late. [`BodyDeadline`] extends it
-/// according to the bytes that have arrived.
+/// The minimum grace period of a request body after the head, even if the head was late. [`WaitAllowance`] extends it
+/// according to the bytes that arrive.
 const MIN_BODY_TIME: Duration = Duration::from_millis(300);
 
 impl Clients {
@@ -39,13 +39,11 @@
         } else {
             now + REQUEST_TIMEOUT
         };
-        let deadline = BodyDeadline {
-            grace_ends_at: late_at.max(now + MIN_BODY_TIME),
-        };
+        let grace = late_at.saturating_duration_since(now).max(MIN_BODY_TIME);
         let mut response = if self.is_health_check(&request) {
             self.health().map(ResponseBody::Buffered)
         } else {
-            self.serve_class_request(request, connection, number, deadline)
+            self.serve_class_request(request, connection, number, WaitAllowance::new(grace))
                 .await
                 .unwrap_or_else(error_response)
         };
@@ -61,14 +59,14 @@
         request: Request<Incoming>,
         connection: &ClientConnection,
         number: u64,
-        deadline: BodyDeadline,
+        allowance: WaitAllowance,
     ) -> Result<Response<ResponseBody>, InvalidRequest> {
         // A backend that finds the end of the body elsewhere would execute a part of the body as a request that no
         // client sent (rule 2, idempotency).
         if connection.has_ambiguous_body_length(number) {
             return Err(InvalidRequest::AmbiguousBody);
         }
-        let inbound = self.read_request(request, deadline).await?;
+        let inbound = self.read_request(request, allowance).await?;
         self.forward(inbound, connection).await
     }
 
--- a/tests/proxy/bodies.rs
+++ b/tests/proxy/bodies.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
+use std::time::{Duration, Instant};
 
 /// The length of a body that is larger than what the proxy may buffer.
 const LARGE_BODY_LENGTH: usize = 32 << 20;
@@ -292,3 +293,36 @@
         );
     }
 }
+
+/// Guards against clients that send a part of a body at once, stop and stay: they occupied a connection for as long as
+/// the bytes that they had sent would have taken at the minimum rate.
+#[test]
+fn a_client_that_stops_within_a_body_gets_an_error_or_a_close_within_three_seconds() {
+    /// Time in which such a client is owed an error or a close, counted from its connect.
+    const MAX_TIME: Duration = Duration::from_secs(3);
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("there"));
+    let proxy = Proxy::start_with_backend("stopped-body", &discovery, backend.address);
+    // A body that is buffered, one that is streamed because of its length, and one of unknown length.
+    let clients: Vec<_> = [
+        ("Content-Length: 1048576\r\n\r\n", 1 << 19),
+        ("Content-Length: 8388608\r\n\r\n", 3 << 20),
+        ("Transfer-Encoding: chunked\r\n\r\n100000\r\n", 1 << 19),
+    ]
+    .into_iter()
+    .enumerate()
+    .map(|(number, (length, sent))| {
+        let connected_at = Instant::now();
+        let mut client = proxy.client();
+        let head = request("charge", &format!("stopped-{number}"), "");
+        client.send(&head.replace("Content-Length: 0\r\n\r\n", length));
+        client.send(&"x".repeat(sent));
+        (client, connected_at)
+    })
+    .collect();
+    for (mut client, connected_at) in clients {
+        let _ = client.reader.read(&mut [0; 64]);
+        let elapsed = connected_at.elapsed();
+        assert!(elapsed < MAX_TIME, "the client was left for {elapsed:?}");
+    }
+}
