Evict clients that stop within a body or send on after their last response

Cause: a connection with an incomplete body counted as one with a request, and a lingering one was not asked to close; neither was ever evicted. The accept loop waited for a connection to end, and looked again only when one had ended.

Evidence: the new test fails before the change: "stopped: answered after 12.013025126s", bound 1.1 s.

Change: an incomplete body without 6 KiB of progress in 200 ms has an eviction cost behind a partial head; a lingering connection has the lowest one after 100 ms. The accept loop looks again every 20 ms while nothing can be evicted.

Why it works: each such client holds a socket for at most 200 ms while others wait. What it sent has not been executed, because its request is incomplete or has its response. Unread bytes, which may complete a request, prevent the eviction as before.

--- a/src/proxy/clients/mod.rs
+++ b/src/proxy/clients/mod.rs
@@ -32,7 +32,11 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
+
+/// Interval at which the accept loop looks for a connection to evict while the maximum number is open and none can be
+/// evicted.
+const EVICTION_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The settings of a request class against which a request is checked when it arrives.
 struct Class {
@@ -149,9 +153,14 @@
             // must not take the descriptors that are reserved for backends. So that connections without a request do
             // not keep them waiting, the connection with the lowest eviction cost is evicted.
             while self.open_connections.get() >= self.budget.max_client_connections {
-                self.connections.borrow().evict_one();
+                let is_evicting = self.connections.borrow().evict_one();
                 self.is_full.set(true);
-                self.connection_freed.notified().await;
+                if is_evicting {
+                    self.connection_freed.notified().await;
+                } else {
+                    // Connections become evictable as time passes, which notifies nobody.
+                    let _ = timeout(EVICTION_INTERVAL, self.connection_freed.notified()).await;
+                }
             }
             self.is_full.set(false);
             match listener.accept().await {
--- a/src/proxy/clients/serve.rs
+++ b/src/proxy/clients/serve.rs
@@ -47,12 +47,31 @@
     pub(super) async fn serve(self: &Rc<Self>, connection: &Rc<ClientConnection>) {
         match self.serve_requests(connection).await {
             ConnectionEnd::Closed => {}
-            ConnectionEnd::Finished => connection.socket().linger().await,
+            ConnectionEnd::Finished => self.linger(connection).await,
             // After an ordinary close, an incomplete response of unknown length would seem complete to the client.
             ConnectionEnd::ResponseFailed => connection.socket().reset_on_close(),
         }
     }
 
+    /// Reads until the client closes the connection, or until the connection is evicted.
+    async fn linger(&self, connection: &ClientConnection) {
+        connection.begin_linger();
+        self.notify_if_full();
+        let mut linger = pin!(connection.socket().linger());
+        loop {
+            tokio::select! {
+                biased;
+                () = linger.as_mut() => return,
+                () = connection.eviction_requested() => {
+                    if connection.is_evictable() {
+                        return;
+                    }
+                    self.notify_if_full();
+                }
+            }
+        }
+    }
+
     /// Serves requests until the connection ends. Everything that hyper holds for the connection, including a request
     /// without a response, is dropped before this returns.
     async fn serve_requests(self: &Rc<Self>, connection: &Rc<ClientConnection>) -> ConnectionEnd {
--- a/src/proxy/connections.rs
+++ b/src/proxy/connections.rs
@@ -29,6 +29,10 @@
 /// just before that timeout still has 250 ms to complete.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2_750);
 
+/// Number of bytes that are progress of a body, so that a byte now and then does not protect a connection from eviction.
+/// A client that keeps the minimum rate of a body sends as many within 200 ms.
+const BODY_PROGRESS_BYTES: usize = 6 * 1024;
+
 /// The state of a connection, which determines its deadline and its eviction cost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ConnectionState {
@@ -36,6 +40,8 @@
     WriteBlocked,
     /// A request has no complete response yet.
     Serving,
+    /// A part of the body of the only request without a response has not been received.
+    ReadingBody,
     /// No byte of a request has been received yet.
     Unused,
     /// All requests have their responses, and no byte of a further request has been received.
@@ -44,6 +50,36 @@
     ReadingHead,
     /// The received bytes are malformed, or belong to a body whose request already has its response.
     Discarding,
+    /// The last response has been written, and bytes are discarded until the client closes the connection.
+    Lingering,
+}
+
+/// The progress of a body: the last time at which the client had sent [`BODY_PROGRESS_BYTES`] more.
+#[derive(Clone, Copy)]
+struct BodyProgress {
+    last_at: Instant,
+    /// Number of bytes received since then.
+    bytes: usize,
+}
+
+impl BodyProgress {
+    /// Returns the progress of a body that begins now.
+    fn begin() -> Self {
+        Self {
+            last_at: Instant::now(),
+            bytes: 0,
+        }
+    }
+
+    /// Returns the progress after `received` more bytes.
+    fn after_receiving(self, received: usize) -> Self {
+        let bytes = self.bytes + received;
+        if bytes >= BODY_PROGRESS_BYTES {
+            Self::begin()
+        } else {
+            Self { bytes, ..self }
+        }
+    }
 }
 
 /// A connection of a client.
@@ -63,6 +99,10 @@
     responses: Cell<u64>,
     /// Whether the last write has to wait until the client reads.
     write_blocked: Cell<bool>,
+    /// The progress of the current body.
+    body_progress: Cell<BodyProgress>,
+    /// The time since which the connection has been lingering; `None` before.
+    lingering_since: Cell<Option<Instant>>,
     /// Notifies the connection's task that it should close the connection, so that another client can be accepted.
     eviction: Notify,
     /// Whether an eviction was requested that the connection's task has not received yet.
@@ -85,6 +125,8 @@
             requests: Cell::new(0),
             responses: Cell::new(0),
             write_blocked: Cell::new(false),
+            body_progress: Cell::new(BodyProgress::begin()),
+            lingering_since: Cell::new(None),
             eviction: Notify::new(),
             eviction_pending: Cell::new(false),
         }
@@ -159,11 +201,9 @@
         is_idle && !self.has_unread()
     }
 
-    /// Returns whether the connection may be closed so that another client can be accepted. It must have neither a
-    /// complete request nor unread bytes that may be one.
-    #[must_use]
-    pub fn is_evictable(&self) -> bool {
-        self.eviction_cost().is_some() && !self.has_unread()
+    /// Records that the last response has been written, and that bytes are discarded from now on.
+    pub fn begin_linger(&self) {
+        self.lingering_since.set(Some(Instant::now()));
     }
 
     /// Returns whether bytes have been received that hyper has not read yet. Unless bytes were read ahead, this takes a
@@ -173,11 +213,14 @@
         !self.read_ahead.borrow().is_empty() || self.socket.unread() == Unread::Bytes
     }
 
-    /// Returns the time by which the client must send or read more, or `None` while the proxy has to respond.
+    /// Returns the time by which the client must send or read more, or `None` while the proxy has to respond, or while
+    /// a body or the end of the connection has a time limit of its own.
     #[must_use]
     pub fn deadline(&self) -> Option<Instant> {
         match self.state() {
-            ConnectionState::Serving => None,
+            ConnectionState::Serving
+            | ConnectionState::ReadingBody
+            | ConnectionState::Lingering => None,
             ConnectionState::WriteBlocked => {
                 Some(self.last_activity.get() + RESPONSE_STALL_TIMEOUT)
             }
@@ -212,9 +255,18 @@
     /// Returns the state, which follows from the bytes read, the numbers of requests and responses, and the last write.
     fn state(&self) -> ConnectionState {
         let framing = self.framing.borrow();
-        if self.write_blocked.get() {
+        let open_requests = self
+            .requests
+            .get()
+            .max(framing.heads())
+            .saturating_sub(self.responses.get());
+        if self.lingering_since.get().is_some() {
+            ConnectionState::Lingering
+        } else if self.write_blocked.get() {
             ConnectionState::WriteBlocked
-        } else if self.requests.get().max(framing.heads()) > self.responses.get() {
+        } else if open_requests == 1 && framing.is_in_body() {
+            ConnectionState::ReadingBody
+        } else if open_requests > 0 {
             ConnectionState::Serving
         } else if framing.is_between_messages() && self.requests.get() == 0 {
             ConnectionState::Unused
@@ -231,8 +283,14 @@
     fn record_read(&self, bytes: &[u8]) {
         let mut framing = self.framing.borrow_mut();
         let was_in_head = framing.is_in_head();
+        let was_in_body = framing.is_in_body();
         framing.feed(bytes);
         self.last_activity.set(Instant::now());
+        self.body_progress.set(if was_in_body {
+            self.body_progress.get().after_receiving(bytes.len())
+        } else {
+            BodyProgress::begin()
+        });
         if !was_in_head {
             self.head_started_at.set(self.last_activity.get());
         }
--- a/src/proxy/connections/eviction.rs
+++ b/src/proxy/connections/eviction.rs
@@ -1,7 +1,8 @@
 //! Eviction: the selection of a client connection to close so that another client can be accepted.
 //!
 //! A connection is *active* if it is new or has received a part of a head, and was accepted, read or written within the
-//! last `ACTIVE_WINDOW`. A request may still be arriving on it, so active connections are evicted after all others.
+//! last `ACTIVE_WINDOW`. A request may still be arriving on it, so active connections are evicted after all others. A
+//! connection with a part of a body is evicted only if the body has made no progress within `BODY_STALL_TIME`.
 
 use super::{ClientConnection, ConnectionState};
 use rustc_hash::FxHashMap;
@@ -13,21 +14,49 @@
 /// defines it.
 pub(super) const ACTIVE_WINDOW: Duration = Duration::from_millis(500);
 
+/// Time without progress after which a connection with a part of a body may be evicted.
+pub(super) const BODY_STALL_TIME: Duration = Duration::from_millis(200);
+
+/// Time after the last response of a lingering connection in which it is not evicted, so that the response reaches its
+/// client even if the client is still sending.
+const MIN_LINGER_TIME: Duration = Duration::from_millis(100);
+
 /// The cost of evicting a connection, in the order of eviction. The later a variant, the more likely is it that the
 /// eviction loses a request. A connection with a complete request has no eviction cost, because it must not be evicted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum EvictionCost {
+    /// The last response has been written, and the connection is lingering.
+    Lingering,
     /// No byte has been received, and the connection is no longer active.
     Unused,
     /// All requests have their responses.
     Idle,
     /// A part of a head has been received, and the connection is no longer active.
     PartialHead,
+    /// A part of a body has been received, which has made no progress recently.
+    PartialBody,
     /// The connection is active, as the module documentation defines it.
     Active,
 }
 
 impl ClientConnection {
+    /// Returns whether the connection may be closed so that another client can be accepted. It must have neither a
+    /// complete request nor unread bytes that may be one.
+    #[must_use]
+    pub fn is_evictable(&self) -> bool {
+        self.eviction_cost()
+            .is_some_and(|cost| cost == EvictionCost::Lingering || !self.has_unread())
+    }
+
+    /// Returns the time since which the connection could have been evicted at its present cost, but for the time limits
+    /// of this module.
+    fn inactive_since(&self) -> Instant {
+        match self.state() {
+            ConnectionState::ReadingBody => self.body_progress.get().last_at,
+            _ => self.last_activity.get(),
+        }
+    }
+
     /// Returns the eviction cost of the connection, or `None` if it must not be evicted.
     pub(super) fn eviction_cost(&self) -> Option<EvictionCost> {
         let is_active = self.last_activity.get().elapsed() < ACTIVE_WINDOW;
@@ -38,6 +67,14 @@
             }
             ConnectionState::Unused => Some(EvictionCost::Unused),
             ConnectionState::ReadingHead => Some(EvictionCost::PartialHead),
+            ConnectionState::ReadingBody => {
+                let is_stalled = self.inactive_since().elapsed() >= BODY_STALL_TIME;
+                is_stalled.then_some(EvictionCost::PartialBody)
+            }
+            ConnectionState::Lingering => {
+                let since = self.lingering_since.get()?;
+                (since.elapsed() >= MIN_LINGER_TIME).then_some(EvictionCost::Lingering)
+            }
             ConnectionState::WriteBlocked
             | ConnectionState::Serving
             | ConnectionState::Discarding => None,
@@ -57,7 +94,7 @@
 /// A connection that may be closed so that another client can be accepted.
 struct EvictionCandidate<'a> {
     cost: EvictionCost,
-    last_activity: Instant,
+    inactive_since: Instant,
     connection: &'a ClientConnection,
 }
 
@@ -75,23 +112,25 @@
     }
 
     /// Requests the eviction of the connection with the lowest eviction cost, and among several with the same cost, of
-    /// the one that has been without activity for longest. A connection with a request is never evicted.
+    /// the one that has been without activity for longest. A connection with a complete request is never evicted.
+    /// Returns whether there was a connection to evict.
     ///
     /// The task of the connection is notified and closes the connection, unless a request has arrived in the meantime.
-    pub fn evict_one(&self) {
+    pub fn evict_one(&self) -> bool {
         let mut candidates: Vec<EvictionCandidate<'_>> = self
             .open
             .values()
             .filter_map(|connection| EvictionCandidate::new(connection))
             .collect();
-        candidates.sort_unstable_by_key(|candidate| (candidate.cost, candidate.last_activity));
+        candidates.sort_unstable_by_key(|candidate| (candidate.cost, candidate.inactive_since));
         // The check for unread bytes takes a system call, so it is made only until a connection without any is found.
         let evicted = candidates
             .into_iter()
-            .find(|candidate| !candidate.connection.has_unread());
-        if let Some(evicted) = evicted {
+            .find(|candidate| candidate.connection.is_evictable());
+        if let Some(evicted) = &evicted {
             evicted.connection.request_eviction();
         }
+        evicted.is_some()
     }
 }
 
@@ -103,7 +142,7 @@
         }
         Some(Self {
             cost: connection.eviction_cost()?,
-            last_activity: connection.last_activity.get(),
+            inactive_since: connection.inactive_since(),
             connection,
         })
     }
--- a/src/proxy/connections/tests.rs
+++ b/src/proxy/connections/tests.rs
@@ -1,4 +1,4 @@
-use super::eviction::ACTIVE_WINDOW;
+use super::eviction::{ACTIVE_WINDOW, BODY_STALL_TIME};
 use super::*;
 use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
@@ -65,14 +65,13 @@
     just_reading.record_read(&HEAD[..5]);
     assert!(unused.is_idle() && idle.is_idle() && !partial.is_idle() && partial.is_evictable());
     for evicted in 1..=4 {
-        connections.evict_one();
+        assert!(connections.evict_one());
         let mut expected = [4, 3, 1, 2][..evicted].to_vec();
         expected.sort_unstable();
         assert_eq!(pending_evictions(&all), expected);
     }
-    for _ in 0..3 {
-        connections.evict_one();
-    }
+    let evicted = (0..3).filter(|_| connections.evict_one()).count();
+    assert_eq!(evicted, 2);
     assert_eq!(
         pending_evictions(&all),
         [1, 2, 3, 4, 7, 8],
@@ -80,6 +79,54 @@
     );
 }
 
+/// Guards against clients that send a part of a body, and then nothing or a byte now and then, and so keep every
+/// connection.
+#[tokio::test(start_paused = true)]
+async fn connections_whose_bodies_make_no_progress_are_evicted() {
+    const BODY_HEAD: &[u8] = b"POST /x HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n";
+    let (connections, all) = connections::<5>().await;
+    let [stopped, trickling, progressing, complete, pipelined] = &all;
+    for connection in &all {
+        let is_complete = Rc::ptr_eq(connection, complete);
+        connection.record_read(if is_complete { HEAD } else { BODY_HEAD });
+        let _ = connection.begin_request();
+        tokio::time::advance(Duration::from_millis(1)).await;
+    }
+    // The body belongs to a second request; the first one is complete and has no response yet.
+    pipelined.requests.set(2);
+    stopped.record_read(&[b'x'; 500_000]);
+    trickling.record_read(&[b'x'; 500_000]);
+    assert!(!connections.evict_one(), "each body has made progress");
+    for _ in 0..3 {
+        tokio::time::advance(BODY_STALL_TIME / 2).await;
+        trickling.record_read(b"x");
+        progressing.record_read(&[b'x'; BODY_PROGRESS_BYTES]);
+    }
+    let evicted = (0..5).filter(|_| connections.evict_one()).count();
+    assert_eq!((evicted, pending_evictions(&all)), (2, vec![0, 1]));
+}
+
+/// Guards against clients that keep sending after their last response and so keep every connection.
+#[tokio::test(start_paused = true)]
+async fn lingering_connections_are_evicted_first() {
+    let (connections, all) = connections::<3>().await;
+    let [idle, lingering, just_lingering] = &all;
+    for connection in &all {
+        connection.record_read(HEAD);
+        let _ = connection.begin_request();
+        connection.end_request();
+    }
+    lingering.begin_linger();
+    tokio::time::advance(ACTIVE_WINDOW).await;
+    lingering.last_activity.set(Instant::now());
+    just_lingering.begin_linger();
+    assert!(idle.is_evictable() && !just_lingering.is_evictable());
+    assert!(connections.evict_one());
+    assert_eq!(pending_evictions(&all), [1]);
+    assert!(connections.evict_one());
+    assert_eq!(pending_evictions(&all), [0, 1]);
+}
+
 #[tokio::test]
 async fn a_connection_with_unread_bytes_is_neither_idle_nor_evicted() {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
@@ -98,7 +145,7 @@
         .await
         .expect("the connection is open");
     assert!(!connection.is_idle() && !connection.is_evictable());
-    connections.evict_one();
+    assert!(!connections.evict_one());
     assert!(
         !connection.eviction_pending.get(),
         "the request would be lost"
--- a/src/proxy/framing.rs
+++ b/src/proxy/framing.rs
@@ -94,6 +94,12 @@
         self.reading == Reading::Head && !self.partial.is_empty()
     }
 
+    /// Returns whether a part of a body is still missing.
+    #[must_use]
+    pub fn is_in_body(&self) -> bool {
+        !matches!(self.reading, Reading::Head | Reading::Malformed)
+    }
+
     /// Parses the next bytes of the connection.
     pub fn feed(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() {
--- a/tests/proxy/overload.rs
+++ b/tests/proxy/overload.rs
@@ -133,6 +133,79 @@
     }
 }
 
+/// Connects more clients than the proxy accepts. Each sends `text` and keeps its connection; each byte of `trickle` is
+/// sent a little later.
+fn occupy_connections(proxy: &Proxy, text: &str, trickle: &'static [u8]) -> Vec<TcpStream> {
+    const TRICKLE_INTERVAL: Duration = Duration::from_millis(300);
+    let connect = |_| {
+        let mut stream = TcpStream::connect(proxy.address).expect("the proxy listens");
+        // The proxy may close the connection while the client is still writing.
+        let _ = stream.write_all(text.as_bytes());
+        stream
+    };
+    let streams: Vec<_> = (0..IDLE_CLIENT_COUNT).map(connect).collect();
+    let mut writers: Vec<_> = streams
+        .iter()
+        .map(|stream| stream.try_clone().expect("the test has a free descriptor"))
+        .collect();
+    thread::spawn(move || {
+        for byte in trickle {
+            thread::sleep(TRICKLE_INTERVAL);
+            for writer in &mut writers {
+                let _ = writer.write_all(&[*byte]);
+            }
+        }
+    });
+    streams
+}
+
+/// Guards against clients that keep connections without a complete request, which left other clients without an answer:
+/// clients that stop within a body, that continue it a byte at a time, and that send on after an error response.
+#[test]
+fn clients_that_stop_after_the_head_of_a_request_do_not_keep_others_from_an_answer() {
+    const TIMEOUT_MS: u64 = 600;
+    /// The latest time for the answer to a request, counted from its last byte.
+    const MAX_ANSWER_TIME: Duration = Duration::from_millis(TIMEOUT_MS + 500);
+    const TRICKLE: &[u8] = &[b'x'; 12];
+    let half = "x".repeat(40_000);
+    let head =
+        |id: &str, length: &str| request("charge", id, "").replace("Content-Length: 0\r\n", length);
+    let body = format!("{}{half}", head("same", "Content-Length: 80000\r\n"));
+    let chunks = format!(
+        "{}10000\r\n{half}",
+        head("same", "Transfer-Encoding: chunked\r\n")
+    );
+    let invalid = format!("{}{half}", head("same", "Content-Length: 80000\r\n"))
+        .replace("/charge", "/unknown");
+    for (case, text, trickle) in [
+        ("stopped", &body, &[][..]),
+        ("stopped-chunk", &chunks, &[]),
+        ("trickling", &body, TRICKLE),
+        ("error", &invalid, TRICKLE),
+    ] {
+        let discovery = Discovery::start();
+        let backend = Backend::start(|_| ok("there"));
+        let mut config = config(case, &discovery);
+        config["limits"]["sockets"] = DESCRIPTORS.into();
+        let proxy = Proxy::start_with_descriptor_limit(case, &config, DESCRIPTORS);
+        discovery.publish_and_wait(true, &[active_endpoint("s-1", backend.address)]);
+        let occupied = occupy_connections(&proxy, text, trickle);
+        for id in 0..4 {
+            let mut client = proxy.client();
+            let sent_at = Instant::now();
+            let id = format!("other-{id}");
+            let got = client.exchange(&request_with_timeout("charge", &id, "", TIMEOUT_MS));
+            let elapsed = sent_at.elapsed();
+            assert_eq!(got.status(), 200, "{case}");
+            assert!(
+                elapsed < MAX_ANSWER_TIME,
+                "{case}: answered after {elapsed:?}"
+            );
+        }
+        drop(occupied);
+    }
+}
+
 /// Runs a discovery service that serves this list to all proxies and answers calls slowly, one after another. A call
 /// that has waited too long is answered with 503. A call for changes after the list's revision stays open.
 fn serve_in_turn(address: SocketAddr, list: Value) {
