Answer a request in time whose backend stops reading its streamed body

Cause: the attempt's timeout and the time of the final answer counted from the moment at which the last byte was forwarded. While the backend takes nothing, the body is not read, the client's last bytes lie in the kernel, and that moment never comes.

Change: both count from the earliest time at which the client may have sent its last byte: now, while the upload waits for the client, else the last time at which it did, or at which over 16 MiB were unread.

Why it works: the client's last byte cannot be older than that time, so the answer is in time wherever the byte lies. A client that sends more slowly than its request's timeout is still served (second test).

--- a/src/proxy/backends/attempt.rs
+++ b/src/proxy/backends/attempt.rs
@@ -287,12 +287,19 @@
         }
     }
 
-    /// Waits until the attempt times out: at its deadline, or `remaining` after the end of a streamed body. The timeout
-    /// of a request with a streamed body counts from the last byte of the body.
+    /// Waits until the attempt times out: at its deadline, or `remaining` after the client may have sent the last byte
+    /// of a streamed body, if that is later.
     async fn wait_for_timeout(&self, remaining: Duration) {
-        match self.call.body.progress() {
-            None => sleep_until(self.deadlines.deadline).await,
-            Some(progress) => sleep_until(progress.finished().await + remaining).await,
+        sleep_until(self.deadlines.deadline).await;
+        let Some(progress) = self.call.body.progress() else {
+            return;
+        };
+        loop {
+            let deadline = progress.last_byte_not_before() + remaining;
+            if deadline <= Instant::now() {
+                return;
+            }
+            sleep_until(deadline).await;
         }
     }
 }
--- a/src/proxy/bodies/upload.rs
+++ b/src/proxy/bodies/upload.rs
@@ -12,7 +12,6 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use tokio::sync::Notify;
 use tokio::time::{Instant, Sleep, sleep_until};
 
 /// The state of an upload.
@@ -27,16 +26,52 @@
     Failed,
 }
 
+/// The largest number of bytes that the kernels of a client and of the proxy together are taken to buffer. A client
+/// cannot have sent its last byte while more than that has not been read.
+const MAX_KERNEL_BUFFER_BYTES: u64 = 16 << 20;
+
 /// The progress of an upload, shared by the upload and the attempts of its request.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct UploadProgress {
     state: Cell<UploadState>,
+    /// Whether everything that the client has sent has been read, and the upload waits for more.
+    waits_for_client: Cell<bool>,
+    /// The time before which the client cannot have sent its last byte, unless the upload waits for the client now.
+    last_byte_not_before: Cell<Instant>,
     /// Whether a part of the body was forwarded and is no longer in memory.
     consumed: Cell<bool>,
-    finished: Notify,
 }
 
 impl UploadProgress {
+    fn new() -> Self {
+        Self {
+            state: Cell::default(),
+            waits_for_client: Cell::new(false),
+            last_byte_not_before: Cell::new(Instant::now()),
+            consumed: Cell::new(false),
+        }
+    }
+
+    /// Returns the earliest time at which the client may have sent its last byte. The client's timeout counts from it.
+    ///
+    /// A backend that takes no more bytes keeps the upload from reading. The rest of the body may lie in the buffers of
+    /// the kernel meanwhile, so the time at which the last byte is read would be too late.
+    #[must_use]
+    pub fn last_byte_not_before(&self) -> Instant {
+        if self.waits_for_client.get() {
+            Instant::now()
+        } else {
+            self.last_byte_not_before.get()
+        }
+    }
+
+    /// Records whether the upload waits for the client from now on.
+    fn set_waits_for_client(&self, waits: bool) {
+        if self.waits_for_client.replace(waits) {
+            self.last_byte_not_before.set(Instant::now());
+        }
+    }
+
     /// Returns the time at which the last byte was forwarded; `None` if it has not been forwarded.
     #[must_use]
     pub fn finished_at(&self) -> Option<Instant> {
@@ -58,21 +93,10 @@
         self.state.get() == UploadState::Failed
     }
 
-    /// Waits until the last byte has been forwarded, and returns the time at which it was forwarded.
-    pub async fn finished(&self) -> Instant {
-        loop {
-            if let Some(at) = self.finished_at() {
-                return at;
-            }
-            self.finished.notified().await;
-        }
-    }
-
     /// Records that the last byte was forwarded now. Later calls have no effect.
     fn finish(&self) {
         if self.finished_at().is_none() {
             self.state.set(UploadState::Finished(Instant::now()));
-            self.finished.notify_one();
         }
     }
 }
@@ -109,7 +133,7 @@
             allowance,
             sleep: Box::pin(sleep_until(Instant::now())),
             length: StreamLength::new(total),
-            progress: Rc::default(),
+            progress: Rc::new(UploadProgress::new()),
             counters,
         }
     }
@@ -126,6 +150,9 @@
         if self.length.forwarded() > MAX_FORWARDED_BODY_BYTES {
             return self.fail(BodyError::TooLarge);
         }
+        if self.length.remaining() > Some(MAX_KERNEL_BUFFER_BYTES) {
+            self.progress.last_byte_not_before.set(Instant::now());
+        }
         if self.length.is_complete() {
             self.progress.finish();
         }
@@ -158,6 +185,12 @@
     }
 }
 
+impl Drop for Upload {
+    fn drop(&mut self) {
+        self.progress.set_waits_for_client(false);
+    }
+}
+
 impl Body for Upload {
     type Data = Bytes;
     type Error = BodyError;
@@ -170,7 +203,9 @@
         }
         self.reserved.clear();
         loop {
-            match Pin::new(&mut self.rest).poll_frame(cx) {
+            let polled = Pin::new(&mut self.rest).poll_frame(cx);
+            self.progress.set_waits_for_client(polled.is_pending());
+            match polled {
                 Poll::Ready(Some(Ok(frame))) => {
                     // Trailers are not forwarded, because backends do not need them.
                     if let Ok(data) = frame.into_data() {
--- a/src/proxy/driver/request_events.rs
+++ b/src/proxy/driver/request_events.rs
@@ -40,7 +40,7 @@
         let Some(open) = self.requests.get(request) else {
             return;
         };
-        if let Some(due) = self.streamed_answer_due(now, open)
+        if let Some(due) = self.streamed_answer_due(open)
             && due > now
         {
             self.timers.set(due, DriverTimer::FinalAnswer(request));
@@ -54,14 +54,11 @@
     }
 
     /// Returns the time at which the final answer to a request with a streamed body is due; `None` if the body is not
-    /// streamed. The client's timeout starts with the last byte of the body.
-    fn streamed_answer_due(&self, now: Micros, open: &PendingRequest) -> Option<Micros> {
+    /// streamed. The client's timeout starts when it may have sent the last byte of the body.
+    fn streamed_answer_due(&self, open: &PendingRequest) -> Option<Micros> {
         let progress = open.call.body.progress()?;
-        let complete_at = match progress.finished_at() {
-            Some(at) => self.clock.to_micros(at),
-            None => now,
-        };
-        let due = complete_at + final_answer_timeout(open.remaining);
+        let sent_at = self.clock.to_micros(progress.last_byte_not_before());
+        let due = sent_at + final_answer_timeout(open.remaining);
         match self.lifecycle.process_ends_at() {
             Some(process_ends_at) => Some(due.min(answer_deadline_before_process_end(
                 self.clock.to_micros(process_ends_at),
--- a/tests/proxy/bodies.rs
+++ b/tests/proxy/bodies.rs
@@ -326,3 +326,86 @@
         assert!(elapsed < MAX_TIME, "the client was left for {elapsed:?}");
     }
 }
+
+/// Starts a backend that reads this much of the first request on each connection and then nothing more.
+fn backend_that_stops_reading(bytes: usize) -> SocketAddr {
+    let (listener, address) = bind_listener("127.0.0.1:0");
+    thread::spawn(move || {
+        let mut streams = Vec::new();
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("the listener stays open");
+            let mut unread = bytes;
+            while unread > 0 {
+                let read = stream.read(&mut vec![0; unread]).unwrap_or(0);
+                unread = if read == 0 { 0 } else { unread - read };
+            }
+            streams.push(stream);
+        }
+    });
+    address
+}
+
+/// Guards against requests that are never answered because their backend stops reading their body: neither the attempt
+/// nor the request timed out before the last byte was forwarded.
+#[test]
+fn a_request_whose_backend_stops_reading_its_body_is_answered_in_time() {
+    const TIMEOUT_MS: u64 = 700;
+    /// The latest time for the answer to a request, counted from its last byte.
+    const MAX_ANSWER_TIME: Duration = Duration::from_millis(TIMEOUT_MS + 500);
+    let cases = [
+        ("charge", 3 << 20, 0, false),
+        ("charge", 6 << 20, 0, false),
+        ("submit", 6 << 20, 1 << 20, false),
+        ("charge", 5 << 20, 0, true),
+        ("charge", LARGE_BODY_LENGTH, 4 << 20, false),
+    ];
+    for (class, length, read, is_chunked) in cases {
+        let discovery = Discovery::start();
+        let address = backend_that_stops_reading(read);
+        let name = format!("stopped-reading-{length}-{read}-{is_chunked}");
+        let proxy = Proxy::start(&name, &discovery, &[active_endpoint("s-1", address)]);
+        let mut client = proxy.client();
+        let head = request_with_timeout(class, "1", "", TIMEOUT_MS);
+        let size = if is_chunked {
+            format!("Transfer-Encoding: chunked\r\n\r\n{length:x}\r\n")
+        } else {
+            format!("Content-Length: {length}\r\n\r\n")
+        };
+        client.send(&head.replace("Content-Length: 0\r\n\r\n", &size));
+        let body = vec![b'x'; length];
+        // The proxy may answer and close the connection while the client is still writing.
+        let _ = client.stream.write_all(&body);
+        if is_chunked {
+            let _ = client.stream.write_all(b"\r\n0\r\n\r\n");
+        }
+        let sent_at = Instant::now();
+        let answer = read_message(&mut client.reader);
+        let elapsed = sent_at.elapsed();
+        assert!(elapsed < MAX_ANSWER_TIME, "{name}: ended after {elapsed:?}");
+        // A client that could not write its last byte may be cut off.
+        if length < LARGE_BODY_LENGTH {
+            let status = answer.expect("the proxy sends an answer").status();
+            assert!(status == 502 || status == 503, "{name}: {status}");
+        }
+    }
+}
+
+/// The timeout of a request counts from its last byte, so a client may take longer than that to send a long body.
+#[test]
+fn a_streamed_body_may_take_longer_than_the_timeout_of_its_request() {
+    const TIMEOUT_MS: u64 = 400;
+    const PIECES: usize = 12;
+    const PIECE_BYTES: usize = 256 << 10;
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("there"));
+    let proxy = Proxy::start_with_backend("long-upload", &discovery, backend.address);
+    let mut client = proxy.client();
+    let size = format!("Content-Length: {}\r\n\r\n", PIECES * PIECE_BYTES);
+    let head = request_with_timeout("charge", "1", "", TIMEOUT_MS);
+    client.send(&head.replace("Content-Length: 0\r\n\r\n", &size));
+    for _ in 0..PIECES {
+        client.send(&"x".repeat(PIECE_BYTES));
+        thread::sleep(Duration::from_millis(TIMEOUT_MS / 3));
+    }
+    assert_eq!(client.receive().status(), 200);
+}
