Answer a body streamed during a shutdown before the process may be killed

Cause: the final answer was limited by the end of the process (longest timeout plus 0.5 s) instead of the last answer, and a timer set before SIGTERM was not set anew.

Change: the driver follows the stages of the process. A streamed request whose last byte may come after the shutdown began is due before its last answer; others keep the end of the process.

--- a/src/proxy/driver/margins.rs
+++ b/src/proxy/driver/margins.rs
@@ -7,7 +7,7 @@
 const BALANCER_MARGIN: Micros = 20_000;
 /// Time before the client's timeout at which an unanswered request fails.
 const FINAL_ANSWER_MARGIN: Micros = 10_000;
-/// Time before the end of the process by which all requests must be answered.
+/// Time between an answer and the end of the process, or the time at which the process may be killed.
 const SHUTDOWN_MARGIN: Micros = 100_000;
 
 /// Returns the timeout that the balancer is given for a request whose client waits for `remaining`: at least half of
@@ -22,9 +22,9 @@
     remaining.saturating_sub(FINAL_ANSWER_MARGIN.min(remaining / 4))
 }
 
-/// Returns the time by which every request must be answered in a process that ends at `process_ends_at`.
-pub(super) fn answer_deadline_before_process_end(process_ends_at: Micros) -> Micros {
-    process_ends_at.saturating_sub(SHUTDOWN_MARGIN)
+/// Returns the time by which a request must be answered during a shutdown that requires it by `limit`.
+pub(super) fn answer_deadline_in_shutdown(limit: Micros) -> Micros {
+    limit.saturating_sub(SHUTDOWN_MARGIN)
 }
 
 #[cfg(test)]
--- a/src/proxy/driver/mod.rs
+++ b/src/proxy/driver/mod.rs
@@ -32,7 +32,7 @@
 use std::rc::Rc;
 use timers::{DriverTimer, DriverTimers};
 use tokio::sync::mpsc;
-use tokio::time::sleep_until;
+use tokio::time::{Instant, sleep_until};
 
 /// The settings that the driver applies itself, without the balancer.
 #[derive(Clone, Copy, Debug)]
@@ -96,18 +96,20 @@
     /// Handles messages and timers until all handles are dropped. The driver holds a handle itself, so it runs until
     /// the process ends.
     pub async fn run(mut self) {
+        let mut stages = self.lifecycle.subscribe();
         loop {
             let next_due = self.timers.next_due().map(|due| self.clock.to_instant(due));
-            let message = match next_due {
-                None => self.messages.recv().await,
-                Some(due) => tokio::select! {
-                    biased;
-                    message = self.messages.recv() => message,
-                    () = sleep_until(due) => {
-                        self.fire_timers();
-                        continue;
-                    }
-                },
+            let message = tokio::select! {
+                biased;
+                message = self.messages.recv() => message,
+                () = sleep_until(next_due.unwrap_or_else(Instant::now)), if next_due.is_some() => {
+                    self.fire_timers();
+                    continue;
+                }
+                Ok(()) = stages.changed() => {
+                    self.on_stage_changed();
+                    continue;
+                }
             };
             let Some(message) = message else {
                 return;
--- a/src/proxy/driver/request_events.rs
+++ b/src/proxy/driver/request_events.rs
@@ -1,7 +1,7 @@
 //! The events of a request: it arrives, its final answer is due, its client disconnects.
 
 use super::Driver;
-use super::margins::{answer_deadline_before_process_end, balancer_timeout, final_answer_timeout};
+use super::margins::{answer_deadline_in_shutdown, balancer_timeout, final_answer_timeout};
 use super::requests::PendingRequest;
 use super::timers::DriverTimer;
 use crate::api::{Event, Micros, RequestId};
@@ -59,11 +59,28 @@
         let progress = open.call.body.progress()?;
         let sent_at = self.clock.to_micros(progress.last_byte_not_before());
         let due = sent_at + final_answer_timeout(open.remaining);
-        match self.lifecycle.process_ends_at() {
-            Some(process_ends_at) => Some(due.min(answer_deadline_before_process_end(
-                self.clock.to_micros(process_ends_at),
-            ))),
-            None => Some(due),
+        let Some(shutdown) = self.lifecycle.shutdown_times() else {
+            return Some(due);
+        };
+        // The process may be killed before requests are answered that arrived before the shutdown, but not before the
+        // answers to later ones.
+        let limit = if sent_at > self.clock.to_micros(shutdown.began_at) {
+            shutdown.last_answer_at
+        } else {
+            shutdown.process_ends_at
+        };
+        Some(due.min(answer_deadline_in_shutdown(self.clock.to_micros(limit))))
+    }
+
+    /// Sets timers that check the requests with streamed bodies before the last answer of a shutdown is due. Their
+    /// timers may be later, because they were set before the shutdown began.
+    pub(super) fn on_stage_changed(&mut self) {
+        let Some(shutdown) = self.lifecycle.shutdown_times() else {
+            return;
+        };
+        let due = answer_deadline_in_shutdown(self.clock.to_micros(shutdown.last_answer_at));
+        for request in self.requests.with_streamed_body() {
+            self.timers.set(due, DriverTimer::FinalAnswer(request));
         }
     }
 
--- a/src/proxy/driver/requests.rs
+++ b/src/proxy/driver/requests.rs
@@ -162,6 +162,14 @@
         self.0.get_mut(&id)
     }
 
+    /// Returns the ids of the requests whose bodies are streamed.
+    pub(super) fn with_streamed_body(&self) -> impl Iterator<Item = RequestId> {
+        self.0
+            .iter()
+            .filter(|(_, request)| request.call.body.progress().is_some())
+            .map(|(&id, _)| id)
+    }
+
     /// Removes a request if it is finished.
     pub(super) fn remove_if_finished(&mut self, id: RequestId) {
         if self.0.get(&id).is_some_and(PendingRequest::is_finished) {
--- a/src/proxy/lifecycle.rs
+++ b/src/proxy/lifecycle.rs
@@ -38,6 +38,8 @@
 /// The deadlines of a shutdown.
 #[derive(Clone, Copy, Debug)]
 pub struct ShutdownTimes {
+    /// The time at which the shutdown began.
+    pub began_at: Instant,
     /// The time by which requests that arrive during the shutdown must be answered. The process may be killed after it.
     pub last_answer_at: Instant,
     /// The time at which the process ends, even if connections are still open.
@@ -145,10 +147,10 @@
         Some(remaining)
     }
 
-    /// Returns the time at which the process ends, or `None` before the shutdown.
+    /// Returns the deadlines of the shutdown, or `None` before it begins.
     #[must_use]
-    pub fn process_ends_at(&self) -> Option<Instant> {
-        self.shutdown.get().map(|times| times.process_ends_at)
+    pub fn shutdown_times(&self) -> Option<ShutdownTimes> {
+        self.shutdown.get()
     }
 
     /// Returns the time at which a client connection that has been idle since `idle_since` is closed: after a grace
--- a/src/proxy/shutdown.rs
+++ b/src/proxy/shutdown.rs
@@ -36,6 +36,7 @@
     let start = Instant::now();
     let process_ends_at = start + longest_timeout + PROCESS_END_MARGIN;
     lifecycle.shut_down(ShutdownTimes {
+        began_at: start,
         last_answer_at: start + longest_timeout.min(MAX_ANSWER_TIME) + PROCESS_END_MARGIN,
         process_ends_at,
     });
--- a/tests/proxy/shutdown.rs
+++ b/tests/proxy/shutdown.rs
@@ -204,6 +204,53 @@
     assert!(began.elapsed() < KILL_TIMEOUT);
 }
 
+/// Guards against requests with long bodies that arrive during a shutdown and are not answered before the process is
+/// killed, because their timeouts are longer than that: one whose head arrives before SIGTERM, and one after it.
+#[test]
+fn a_long_body_that_arrives_during_a_shutdown_is_answered_before_the_kill_timeout() {
+    const PIECES: usize = 8;
+    const PIECE_BYTES: usize = 512 << 10;
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| Reply::Hang);
+    let mut proxy = Proxy::start_with_backend("long-body-killed", &discovery, backend.address);
+    let size = format!("Content-Length: {}\r\n\r\n", PIECES * PIECE_BYTES);
+    let head = |id: &str| request("charge", id, "").replace("Content-Length: 0\r\n\r\n", &size);
+    let piece = "x".repeat(PIECE_BYTES);
+    let mut early = proxy.client();
+    let mut late = proxy.client();
+    early.send(&head("early"));
+    early.send(&piece.repeat(5));
+    assert_eq!(
+        proxy.status_of(HEALTH_CHECK),
+        200,
+        "the proxy has read all earlier input"
+    );
+    let began = Instant::now();
+    proxy.terminate();
+    while proxy.status_of(HEALTH_CHECK) == 200 {}
+    late.send(&head("late"));
+    late.send(&piece.repeat(5));
+    for _ in 5..PIECES {
+        thread::sleep(Duration::from_millis(700));
+        early.send(&piece);
+        late.send(&piece);
+    }
+    for client in [&mut early, &mut late] {
+        assert_eq!(
+            client.receive().status(),
+            502,
+            "the request may have been executed"
+        );
+    }
+    assert!(
+        began.elapsed() < KILL_TIMEOUT,
+        "answered {:?} after SIGTERM",
+        began.elapsed()
+    );
+    drop((early, late));
+    assert_eq!(proxy.wait().code(), Some(0));
+}
+
 #[test]
 fn sigterm_before_the_first_endpoint_list_ends_the_process_cleanly() {
     let discovery = Discovery::start();
