Free the slot of an attempt whose client pauses within a streamed body

Cause: where the memory for bodies is used up, or a body is over 2 MiB, it is streamed, and its attempt counts as in flight from the first byte. A backend begins a request with its last byte, so a client that stops used up a limit that the backend had.

Evidence: the new test fails before the change: 503 "answered after 1.501496963s" while two uploads stand still.

Why it works: capacity counts what backends work on. Slow-start tokens, retries and the one attempt in flight are untouched.

--- a/lab/src/fleet/policy/baseline.rs
+++ b/lab/src/fleet/policy/baseline.rs
@@ -270,6 +270,8 @@
             Event::Membership(event) => self.on_membership(event, actions),
             Event::Request(request) => self.on_request(now, &request, true_load, actions),
             Event::AttemptEnded(end) => self.on_attempt_ended(now, &end, true_load, actions),
+            // Only real sockets report the progress of uploads.
+            Event::UploadProgress { .. } => {}
             Event::ClientDisconnected(id) => {
                 self.open_requests.remove(&id);
             }
--- a/src/api/event.rs
+++ b/src/api/event.rs
@@ -137,6 +137,15 @@
         /// Time from sending the attempt to the start of the response.
         elapsed: Micros,
     },
+    /// The client paused in the middle of a streamed body, or continues to send it. (Real sockets only.)
+    UploadProgress {
+        /// Request whose body is being sent.
+        request: RequestId,
+        /// Number of the attempt within the request.
+        attempt: u16,
+        /// Whether the client has paused.
+        is_stalled: bool,
+    },
     /// An attempt ended.
     AttemptEnded(AttemptEnd<'a>),
     /// The client disconnected, or received a final answer that the balancer did not give.
--- a/src/balancer/attempts.rs
+++ b/src/balancer/attempts.rs
@@ -44,6 +44,7 @@
             ..Attempt::new(backend, now)
         };
         self.occupy_slot(now, &attempt);
+        self.withdraw_slow_start(now, backend);
         self.requests[request].attempts.push(attempt);
         self.backends[backend].references += 1;
         out.push(Action::Send {
@@ -110,7 +111,7 @@
 
     /// Returns the time after which an attempt that starts now is overdue. An attempt of a class that is not quick is
     /// overdue after the class's timeout.
-    fn overdue_at(&self, now: Micros, request: RequestKey) -> Micros {
+    pub(super) fn overdue_at(&self, now: Micros, request: RequestKey) -> Micros {
         let index = self.requests[request].class;
         let class = self.settings.class(index);
         let after = if self.latencies.is_quick(index, class) {
@@ -132,17 +133,22 @@
         backend.outlier_detector.is_ejected() || is_unresponsive
     }
 
-    /// Updates the state of a backend for an attempt that starts now and occupies one of the backend's slots.
-    fn occupy_slot(&mut self, now: Micros, attempt: &Attempt) {
-        let slots = self.slots(attempt.backend, self.capacity.limit_factor());
+    /// Takes a token from the budget of a slow start (rule 4, slow start), and ends a slow start that is over.
+    fn withdraw_slow_start(&mut self, now: Micros, key: BackendKey) {
         let safety = &self.settings.safety;
-        let backend = &mut self.backends[attempt.backend];
+        let backend = &mut self.backends[key];
         if let Some(budget) = &mut backend.slow_start {
             budget.withdraw();
         }
         backend.slow_start = backend
             .slow_start
             .filter(|budget| !budget.is_over(now, safety));
+    }
+
+    /// Updates the state of a backend for an attempt that occupies one of the backend's slots from now on.
+    pub(super) fn occupy_slot(&mut self, now: Micros, attempt: &Attempt) {
+        let slots = self.slots(attempt.backend, self.capacity.limit_factor());
+        let backend = &mut self.backends[attempt.backend];
         backend.outlier_detector.start_attempt(attempt.is_trial);
         backend.in_flight.start(now, attempt.overdue_at);
         let in_flight = backend.in_flight.count();
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -55,6 +55,7 @@
 mod throughput;
 pub(crate) mod time;
 mod timers;
+mod uploads;
 
 use crate::api::{Action, ClassIndex, Event, Micros, RequestId, Settings, SettingsError};
 use backends::{BackendState, BackendTable};
@@ -152,6 +153,11 @@
                 attempt,
                 elapsed,
             } => self.on_response_started(now, request, attempt, elapsed, out),
+            Event::UploadProgress {
+                request,
+                attempt,
+                is_stalled,
+            } => self.on_upload_progress(now, request, attempt, is_stalled, out),
             Event::ClientDisconnected(request) => self.on_client_disconnected(request),
             Event::HealthChecked { .. } => {}
             Event::Timer(token) => self.on_timer(now, token, out),
--- a/src/balancer/observation.rs
+++ b/src/balancer/observation.rs
@@ -94,8 +94,11 @@
         }
     }
 
-    /// Frees the slot of an attempt: it is no longer in flight.
-    fn free_slot(&mut self, attempt: &Attempt) {
+    /// Frees the slot of an attempt, unless it occupies none because its upload is stalled.
+    pub(super) fn free_slot(&mut self, attempt: &Attempt) {
+        if attempt.upload_stalled {
+            return;
+        }
         let backend = &mut self.backends[attempt.backend];
         backend.in_flight.end(attempt.overdue_at);
         backend.outlier_detector.end_attempt(attempt.is_trial);
--- a/src/balancer/requests.rs
+++ b/src/balancer/requests.rs
@@ -51,6 +51,8 @@
     pub(crate) is_trial: bool,
     /// Whether a streamed response has started: the backend has done its work.
     pub(crate) response_started: bool,
+    /// Whether the client has paused in the middle of a streamed body, so that the attempt occupies no slot.
+    pub(crate) upload_stalled: bool,
     pub(crate) state: AttemptState,
 }
 
@@ -65,6 +67,7 @@
             overdue_at: now,
             is_trial: false,
             response_started: false,
+            upload_stalled: false,
             state: AttemptState::InFlight,
         }
     }
--- a/src/proxy/bodies/mod.rs
+++ b/src/proxy/bodies/mod.rs
@@ -7,12 +7,14 @@
 //! | `upload`, `streamed` | streamed bodies of requests; streamed bodies of responses |
 //! | `stream` | length and errors of streamed bodies |
 //! | `message_bodies` | the bodies of requests, attempts and responses, each buffered or streamed |
+//! | `stall` | detects that the sender of a body makes no progress |
 //! | `wait_allowance` | the time for which the receiver of a request body still waits for its sender |
 //! | `deadline` | the deadline by which the next bytes of a response body must arrive |
 
 mod buffered;
 mod deadline;
 mod message_bodies;
+pub(super) mod stall;
 mod stream;
 mod streamed;
 mod upload;
@@ -23,6 +25,7 @@
 pub use message_bodies::{
     CallBody, OutgoingBody, PendingUpload, RequestBody, ResponseBody, ServedBody,
 };
+pub use stall::BodyProgress;
 pub use stream::BodyError;
 pub use streamed::{ReceiverClosed, ResponseSender, StreamedResponse};
 pub use upload::{Upload, UploadProgress};
--- a/src/proxy/bodies/upload.rs
+++ b/src/proxy/bodies/upload.rs
@@ -1,7 +1,7 @@
 //! Request bodies that are streamed from a client to a backend.
 
 use super::stream::{BodyError, FramePoll, StreamLength};
-use super::{BufferedBody, WaitAllowance};
+use super::{BodyProgress, BufferedBody, WaitAllowance};
 use crate::proxy::budget::Reservation;
 use crate::proxy::counters::Counters;
 use crate::proxy::size_limits::MAX_FORWARDED_BODY_BYTES;
@@ -9,9 +9,10 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::Cell;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use tokio::sync::watch;
 use tokio::time::{Instant, Sleep, sleep_until};
 
 /// The state of an upload.
@@ -40,6 +41,8 @@
     last_byte_not_before: Cell<Instant>,
     /// Whether a part of the body was forwarded and is no longer in memory.
     consumed: Cell<bool>,
+    /// Whether the client has paused.
+    is_stalled: watch::Sender<bool>,
 }
 
 impl UploadProgress {
@@ -49,6 +52,7 @@
             waits_for_client: Cell::new(false),
             last_byte_not_before: Cell::new(Instant::now()),
             consumed: Cell::new(false),
+            is_stalled: watch::Sender::new(false),
         }
     }
 
@@ -65,6 +69,38 @@
         }
     }
 
+    /// Runs an attempt that sends the body, and calls `report` whenever the client pauses in the middle of it or
+    /// continues to send.
+    pub async fn report_stalls<T>(
+        &self,
+        attempt: impl Future<Output = T>,
+        report: impl Fn(bool),
+    ) -> T {
+        let mut is_stalled = self.is_stalled.subscribe();
+        let mut attempt = pin!(attempt);
+        loop {
+            tokio::select! {
+                biased;
+                result = attempt.as_mut() => return result,
+                Ok(()) = is_stalled.changed() => report(*is_stalled.borrow_and_update()),
+            }
+        }
+    }
+
+    /// Returns whether the client has paused.
+    fn is_stalled(&self) -> bool {
+        *self.is_stalled.borrow()
+    }
+
+    /// Records whether the client has paused.
+    fn set_stalled(&self, stalled: bool) {
+        self.is_stalled.send_if_modified(|is_stalled| {
+            let is_change = *is_stalled != stalled;
+            *is_stalled = stalled;
+            is_change
+        });
+    }
+
     /// Records whether the upload waits for the client from now on.
     fn set_waits_for_client(&self, waits: bool) {
         if self.waits_for_client.replace(waits) {
@@ -108,6 +144,7 @@
     reserved: Vec<Reservation>,
     rest: Incoming,
     allowance: WaitAllowance,
+    pace: BodyProgress,
     sleep: Pin<Box<Sleep>>,
     length: StreamLength,
     pub(super) progress: Rc<UploadProgress>,
@@ -131,6 +168,7 @@
             reserved,
             rest,
             allowance,
+            pace: BodyProgress::begin(),
             sleep: Box::pin(sleep_until(Instant::now())),
             length: StreamLength::new(total),
             progress: Rc::new(UploadProgress::new()),
@@ -154,6 +192,7 @@
             self.progress.last_byte_not_before.set(Instant::now());
         }
         if self.length.is_complete() {
+            self.progress.set_stalled(false);
             self.progress.finish();
         }
         Poll::Ready(Some(Ok(Frame::data(data))))
@@ -171,15 +210,22 @@
         if self.length.remaining().is_none() && self.progress.finished_at().is_none() {
             self.counters.record_attempt();
         }
+        self.progress.set_stalled(false);
         self.progress.finish();
     }
 
-    /// Ends the body with an error once its deadline has passed.
+    /// Waits for the client: records that it is stalled once it has made no progress for some time, and ends the body
+    /// with an error once its deadline has passed.
     fn poll_deadline(&mut self, cx: &mut Context<'_>) -> FramePoll {
         let deadline = self.allowance.begin_wait();
-        if self.sleep.deadline() != deadline {
-            self.sleep.as_mut().reset(deadline);
+        if !self.progress.is_stalled() {
+            self.sleep
+                .as_mut()
+                .reset(deadline.min(self.pace.stalls_at()));
+            ready!(self.sleep.as_mut().poll(cx));
+            self.progress.set_stalled(true);
         }
+        self.sleep.as_mut().reset(deadline);
         ready!(self.sleep.as_mut().poll(cx));
         self.fail(BodyError::TimedOut)
     }
@@ -199,6 +245,7 @@
         if let Some(piece) = self.first.pieces.pop_front() {
             // hyper polls for a piece only after it has written the previous one, whose memory can be released.
             self.reserved.pop();
+            self.pace = BodyProgress::begin();
             return self.forward(piece);
         }
         self.reserved.clear();
@@ -210,6 +257,8 @@
                     // Trailers are not forwarded, because backends do not need them.
                     if let Ok(data) = frame.into_data() {
                         self.allowance.receive(data.len());
+                        self.pace = self.pace.after_receiving(data.len());
+                        self.progress.set_stalled(self.pace.is_stalled());
                         return self.forward(data);
                     }
                 }
--- a/src/proxy/connections.rs
+++ b/src/proxy/connections.rs
@@ -5,6 +5,7 @@
 
 pub use eviction::ClientConnections;
 
+use super::bodies::BodyProgress;
 use super::budget::MemoryBudget;
 use super::framing::Framing;
 use super::read_ahead::{READ_PIECE_BYTES, ReadAhead};
@@ -29,10 +30,6 @@
 /// just before that timeout still has 250 ms to complete.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2_750);
 
-/// Number of bytes that are progress of a body, so that a byte now and then does not protect a connection from eviction.
-/// A client that keeps the minimum rate of a body sends as many within 200 ms.
-const BODY_PROGRESS_BYTES: usize = 6 * 1024;
-
 /// The state of a connection, which determines its deadline and its eviction cost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ConnectionState {
@@ -54,34 +51,6 @@
     Lingering,
 }
 
-/// The progress of a body: the last time at which the client had sent [`BODY_PROGRESS_BYTES`] more.
-#[derive(Clone, Copy)]
-struct BodyProgress {
-    last_at: Instant,
-    /// Number of bytes received since then.
-    bytes: usize,
-}
-
-impl BodyProgress {
-    /// Returns the progress of a body that begins now.
-    fn begin() -> Self {
-        Self {
-            last_at: Instant::now(),
-            bytes: 0,
-        }
-    }
-
-    /// Returns the progress after `received` more bytes.
-    fn after_receiving(self, received: usize) -> Self {
-        let bytes = self.bytes + received;
-        if bytes >= BODY_PROGRESS_BYTES {
-            Self::begin()
-        } else {
-            Self { bytes, ..self }
-        }
-    }
-}
-
 /// A connection of a client.
 pub struct ClientConnection {
     socket: Socket,
--- a/src/proxy/connections/eviction.rs
+++ b/src/proxy/connections/eviction.rs
@@ -2,7 +2,7 @@
 //!
 //! A connection is *active* if it is new or has received a part of a head, and was accepted, read or written within the
 //! last `ACTIVE_WINDOW`. A request may still be arriving on it, so active connections are evicted after all others. A
-//! connection with a part of a body is evicted only if the body has made no progress within `BODY_STALL_TIME`.
+//! connection with a part of a body is evicted only if the body is stalled ([`BodyProgress`](crate::proxy::bodies::BodyProgress)).
 
 use super::{ClientConnection, ConnectionState};
 use rustc_hash::FxHashMap;
@@ -14,9 +14,6 @@
 /// defines it.
 pub(super) const ACTIVE_WINDOW: Duration = Duration::from_millis(500);
 
-/// Time without progress after which a connection with a part of a body may be evicted.
-pub(super) const BODY_STALL_TIME: Duration = Duration::from_millis(200);
-
 /// Time after the last response of a lingering connection in which it is not evicted, so that the response reaches its
 /// client even if the client is still sending.
 const MIN_LINGER_TIME: Duration = Duration::from_millis(100);
@@ -52,7 +49,7 @@
     /// of this module.
     fn inactive_since(&self) -> Instant {
         match self.state() {
-            ConnectionState::ReadingBody => self.body_progress.get().last_at,
+            ConnectionState::ReadingBody => self.body_progress.get().last_at(),
             _ => self.last_activity.get(),
         }
     }
@@ -68,7 +65,7 @@
             ConnectionState::Unused => Some(EvictionCost::Unused),
             ConnectionState::ReadingHead => Some(EvictionCost::PartialHead),
             ConnectionState::ReadingBody => {
-                let is_stalled = self.inactive_since().elapsed() >= BODY_STALL_TIME;
+                let is_stalled = self.body_progress.get().is_stalled();
                 is_stalled.then_some(EvictionCost::PartialBody)
             }
             ConnectionState::Lingering => {
--- a/src/proxy/connections/tests.rs
+++ b/src/proxy/connections/tests.rs
@@ -1,5 +1,7 @@
-use super::eviction::{ACTIVE_WINDOW, BODY_STALL_TIME};
+use super::eviction::ACTIVE_WINDOW;
+
 use super::*;
+use crate::proxy::bodies::stall::{BODY_PROGRESS_BYTES, BODY_STALL_TIME};
 use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
 
--- a/src/proxy/driver/attempts.rs
+++ b/src/proxy/driver/attempts.rs
@@ -116,9 +116,20 @@
                     response,
                 });
             };
-            let result = backend_client
-                .attempt(connections, call, deadlines, cancelled, on_response_start)
-                .await;
+            let on_upload_progress = |is_stalled| {
+                handle.send(Message::UploadProgress {
+                    request,
+                    attempt,
+                    is_stalled,
+                });
+            };
+            let upload = call.body.progress().cloned();
+            let sending =
+                backend_client.attempt(connections, call, deadlines, cancelled, on_response_start);
+            let result = match upload {
+                Some(upload) => upload.report_stalls(sending, on_upload_progress).await,
+                None => sending.await,
+            };
             handle.send(Message::AttemptEnded {
                 request,
                 attempt,
--- a/src/proxy/driver/mod.rs
+++ b/src/proxy/driver/mod.rs
@@ -140,6 +140,18 @@
                 attempt,
                 response,
             } => self.on_response_started(now, request, attempt, response),
+            Message::UploadProgress {
+                request,
+                attempt,
+                is_stalled,
+            } => {
+                let event = Event::UploadProgress {
+                    request,
+                    attempt,
+                    is_stalled,
+                };
+                self.handle_event(now, event);
+            }
             Message::AttemptEnded {
                 request,
                 attempt,
--- a/src/proxy/messages.rs
+++ b/src/proxy/messages.rs
@@ -95,6 +95,15 @@
         /// The response. Its body is still being streamed.
         response: ServedResponse,
     },
+    /// The client paused in the middle of a streamed body, or continues to send it.
+    UploadProgress {
+        /// The request whose body is being sent.
+        request: RequestId,
+        /// The number of the attempt within the request, counted from 0.
+        attempt: u16,
+        /// Whether the client has paused.
+        is_stalled: bool,
+    },
     /// An attempt ended.
     AttemptEnded {
         /// The request that the attempt belongs to.
--- a/tests/decisions/streaming.rs
+++ b/tests/decisions/streaming.rs
@@ -83,3 +83,45 @@
         "expected the backend not to be avoided"
     );
 }
+
+/// Reports to the balancer that the client of a request's first attempt has paused or continues to send the body.
+fn report_upload(proxy: &mut SimulatedProxy, id: u32, is_stalled: bool) -> Vec<Action> {
+    proxy.handle(Event::UploadProgress {
+        request: RequestId(id),
+        attempt: 0,
+        is_stalled,
+    })
+}
+
+/// Guards against clients that stop in the middle of streamed bodies and so use up the limits of the backends.
+#[test]
+fn a_stalled_upload_occupies_no_slot_until_its_client_continues() {
+    let mut proxy = SimulatedProxy::new(single_zone_settings(), single_zone_backends(1));
+    proxy.submit_all(1..20, 0);
+    let slots = proxy.in_flight().len();
+    assert!(slots > 1, "the backend has {slots} slots");
+    for stalled in 1..=slots {
+        // Repeated reports, and those about unknown attempts, have no effect.
+        let id = stalled as u32;
+        for (id, is_stalled) in [(id, false), (id, true), (id, true), (9_999, true)] {
+            report_upload(&mut proxy, id, is_stalled);
+        }
+        assert_eq!(
+            proxy.in_flight().len(),
+            slots + stalled,
+            "each stalled upload frees one slot for a queued request"
+        );
+    }
+    // The end of a stalled upload frees no further slot.
+    proxy.end_attempt(RequestId(1), 0, Outcome::NotSent);
+    report_upload(&mut proxy, 1, false);
+    assert_eq!(proxy.in_flight().len(), 2 * slots - 1);
+    // The others continue and occupy slots again, so the end of a later attempt leaves none free.
+    for id in 2..=slots as u32 {
+        report_upload(&mut proxy, id, false);
+    }
+    let later = proxy.in_flight().last().copied();
+    let later = later.expect("attempts are in flight");
+    proxy.end_attempt(later.request, later.number, Outcome::Ok);
+    assert_eq!(proxy.in_flight().len(), 2 * slots - 2);
+}
--- a/tests/proxy/overload.rs
+++ b/tests/proxy/overload.rs
@@ -206,6 +206,34 @@
     }
 }
 
+/// Guards against clients that stop in the middle of streamed bodies: their attempts occupied all slots of the backends,
+/// and other requests were rejected.
+#[test]
+fn uploads_that_stop_do_not_keep_other_requests_from_the_backends() {
+    const MAX_ANSWER_TIME: Duration = Duration::from_secs(1);
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("there"));
+    let config = config_with_operator("stopped-uploads", &discovery);
+    let proxy = Proxy::start_with_config("stopped-uploads", config);
+    discovery.publish_and_wait(true, &[active_endpoint("s-1", backend.address)]);
+    let uploads: Vec<_> = (0..INITIAL_LIMIT)
+        .map(|number| {
+            let mut upload = proxy.client();
+            let head = request("charge", &format!("upload-{number}"), "");
+            upload.send(&head.replace("Content-Length: 0\r\n", "Content-Length: 8000000\r\n"));
+            upload.send(&"x".repeat(3_000_000));
+            upload
+        })
+        .collect();
+    while proxy.metric("app_in_progress") != INITIAL_LIMIT as u64 {}
+    let sent_at = Instant::now();
+    let got = proxy.client().exchange(&request("charge", "other", ""));
+    let elapsed = sent_at.elapsed();
+    assert_eq!(got.status(), 200, "answered after {elapsed:?}");
+    assert!(elapsed < MAX_ANSWER_TIME, "answered after {elapsed:?}");
+    drop(uploads);
+}
+
 /// Runs a discovery service that serves this list to all proxies and answers calls slowly, one after another. A call
 /// that has waited too long is answered with 503. A call for changes after the list's revision stays open.
 fn serve_in_turn(address: SocketAddr, list: Value) {
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -51,6 +51,8 @@
     WatchFails,
     /// A client with an open request disconnects.
     ClientDisconnects(usize),
+    /// The client of the selected attempt in flight pauses in the middle of its body, or continues to send it.
+    UploadProgress { which: usize, is_stalled: bool },
     /// An event that a proxy without faults never sends; see [`handle_invalid_event`].
     InvalidEvent { kind: u8, number: u32 },
 }
@@ -77,8 +79,11 @@
     });
     let invalid_event =
         (any::<u8>(), any::<u32>()).prop_map(|(kind, number)| Step::InvalidEvent { kind, number });
+    let upload_progress = (any::<usize>(), any::<bool>())
+        .prop_map(|(which, is_stalled)| Step::UploadProgress { which, is_stalled });
     prop_oneof![
         8 => request,
+        2 => upload_progress,
         8 => end_attempt,
         4 => (1..400 * MS).prop_map(Step::Wait),
         1 => change,
@@ -136,6 +141,18 @@
     }
 }
 
+/// Reports that the client of the attempt in flight that `which` selects has paused or continues, if any is in flight.
+fn report_upload_progress(proxy: &mut SimulatedProxy, which: usize, is_stalled: bool) {
+    let in_flight = proxy.in_flight();
+    if let Some(attempt) = in_flight.get(which % in_flight.len().max(1)) {
+        proxy.handle(Event::UploadProgress {
+            request: attempt.request,
+            attempt: attempt.number,
+            is_stalled,
+        });
+    }
+}
+
 /// Disconnects the client of the open request that `which` selects, if any is open.
 fn disconnect_one_client(proxy: &mut SimulatedProxy, which: usize) {
     let open: Vec<RequestId> = proxy
@@ -192,6 +209,9 @@
             proxy.change_membership(MembershipEvent::WatchFailed);
         }
         Step::ClientDisconnects(which) => disconnect_one_client(proxy, which),
+        Step::UploadProgress { which, is_stalled } => {
+            report_upload_progress(proxy, which, is_stalled);
+        }
         Step::InvalidEvent { kind, number } => handle_invalid_event(proxy, kind, number),
     }
 }
