Acknowledge a response at once, so that a second one cannot hide behind it

Cause: the backend's kernel holds a second response back until the first one is acknowledged. The proxy's kernel delays that by up to 40 ms, and the next request carries the acknowledgement. The second response then arrives right behind that request, however long the connection has rested.

Evidence: a trace of a failing test shows the second response written 8 ms before the next request, nothing unread on the socket when that request begins, and the second response read as its answer. The tests fail without the one call (with "/0" or another's path).

Change: a connection acknowledges when it becomes idle (TCP_QUICKACK, which sends what is pending).

--- a/src/proxy/backends/connection.rs
+++ b/src/proxy/backends/connection.rs
@@ -76,7 +76,11 @@
     }
 
     /// Ends the exchange: bytes that arrive from now on belong to no request.
+    ///
+    /// The response is acknowledged at once. Otherwise a second response could be held back at the backend until the
+    /// next request acknowledges the first one, and would arrive as its response.
     fn end_request(&self) {
+        self.socket.acknowledge();
         self.state.set(ExchangeState::Idle {
             since: Instant::now(),
         });
--- a/src/proxy/socket.rs
+++ b/src/proxy/socket.rs
@@ -73,6 +73,12 @@
         self.0.try_read(buffer).ok().filter(|&read| read > 0)
     }
 
+    /// Acknowledges all received bytes at once. Otherwise the kernel may wait up to 40 ms for bytes to send with the
+    /// acknowledgement, and a peer that has not disabled Nagle's algorithm holds further bytes back meanwhile.
+    pub fn acknowledge(&self) {
+        let _ = self.0.set_quickack(true);
+    }
+
     /// Closes the sending side.
     ///
     /// # Errors
