Hold a response that repeats an earlier one until it is known whose it is

Change: a response that equals one of the last 50 ms on its connection is held for up to 250 ms. If bytes follow, the attempt counts as corrupt and may have run; if none do, equal responses are trusted for a minute, so services whose responses are equal wait once.

Why it works: the request's own response follows a second one on the same connection, and nothing follows its own.

Measured: the new test fails without it ("left: "/0", right: "/4"").

--- a/src/proxy/backends/attempt.rs
+++ b/src/proxy/backends/attempt.rs
@@ -190,7 +190,7 @@
     async fn on_response(
         &self,
         response: BackendResponse,
-        connection: Connection,
+        mut connection: Connection,
         cancel: oneshot::Receiver<()>,
         on_response_start: impl FnOnce(ServedResponse),
     ) -> AttemptResult {
@@ -208,8 +208,17 @@
                     ..response.head.attempt_result(load_reports)
                 }
             }
-            BackendBody::Complete(_) => {
-                self.backend_client.pool.keep(self.backend, connection);
+            BackendBody::Complete(ref body) => {
+                let pool = &self.backend_client.pool;
+                let deadline = self.deadlines.deadline;
+                // The response to this request has not been received, and nothing else shows whether the request ran.
+                if pool
+                    .is_second_response(&mut connection, &response.head, body, deadline)
+                    .await
+                {
+                    return Outcome::CorruptResponse.into();
+                }
+                pool.keep(self.backend, connection);
                 response.into_result(load_reports)
             }
             BackendBody::Unread => response.into_result(load_reports),
--- a/src/proxy/backends/connection.rs
+++ b/src/proxy/backends/connection.rs
@@ -1,6 +1,7 @@
 //! One connection to a backend: connecting, and the number of bytes written to its socket.
 
 use super::error::BackendError;
+use super::repeated_response::{Fingerprint, RecentResponses};
 use super::stray_bytes::StrayBytes;
 use crate::proxy::bodies::RequestBody;
 use crate::proxy::counters::Counters;
@@ -15,6 +16,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::task::Poll;
+use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout_at};
 
@@ -28,6 +31,8 @@
     Writing { complete_at: u64 },
     /// A request is completely written or has an unknown length. Bytes that arrive may belong to its response.
     AwaitingResponse,
+    /// A repeated response has been received. Bytes that arrive show that it was a second response to an earlier request.
+    HoldingResponse,
 }
 
 /// The socket of a connection to a backend, with the number of bytes written to it and the state of its exchange.
@@ -37,6 +42,8 @@
     /// Number of bytes written for all requests.
     written: Cell<u64>,
     state: Cell<ExchangeState>,
+    /// Notified when bytes arrive after a repeated response.
+    repeat_proven: Notify,
     stray_bytes: Rc<StrayBytes>,
     counters: Rc<Counters>,
 }
@@ -56,6 +63,7 @@
             socket,
             written: Cell::new(0),
             state: Cell::new(idle),
+            repeat_proven: Notify::new(),
             stray_bytes,
             counters,
         }
@@ -89,12 +97,16 @@
     /// Records that bytes have arrived, if no request is in flight to which they could belong.
     fn record_stray_bytes(&self) {
         if let ExchangeState::Idle { since } = self.state.get() {
-            let delay = since.elapsed();
-            tracing::debug!(backend = %self.backend, ?delay, "bytes without a request");
-            self.stray_bytes.record(delay);
+            self.record_second_response(since.elapsed());
         }
     }
 
+    /// Records bytes that belong to no request, and that arrived `delay` after the last response before them.
+    fn record_second_response(&self, delay: Duration) {
+        tracing::debug!(backend = %self.backend, ?delay, "bytes without a request");
+        self.stray_bytes.record(delay);
+    }
+
     /// Adds to the number of written bytes, and counts the attempt ([`Counters::record_attempt`]) once its request is
     /// completely written.
     fn record_written(&self, bytes: u64) {
@@ -114,6 +126,9 @@
     }
 
     fn on_read(&self, _: &[u8]) {
+        if let ExchangeState::HoldingResponse = self.state.get() {
+            self.repeat_proven.notify_one();
+        }
         self.record_stray_bytes();
     }
 
@@ -202,6 +217,7 @@
             socket,
             task,
             generation,
+            recent_responses: RecentResponses::default(),
             _count: count,
         })
     }
@@ -214,6 +230,7 @@
     task: JoinHandle<()>,
     /// The generation of the backend's connections to which this one belongs.
     pub(super) generation: u64,
+    recent_responses: RecentResponses,
     _count: SocketCount,
 }
 
@@ -231,6 +248,25 @@
         self.socket.end_request();
     }
 
+    /// Records a complete response. Returns the time since an earlier one if this one may be a second copy of it.
+    pub(super) fn record_response(&mut self, fingerprint: Fingerprint) -> Option<Duration> {
+        self.recent_responses.record(fingerprint)
+    }
+
+    /// Waits for bytes that follow a repeated response, which show that it was a second response to an earlier request.
+    /// Returns whether any have arrived by the deadline.
+    pub(super) async fn is_followed_by(&self, deadline: Instant) -> bool {
+        self.socket.state.set(ExchangeState::HoldingResponse);
+        self.socket.socket.acknowledge();
+        let proven = self.socket.repeat_proven.notified();
+        timeout_at(deadline, proven).await.is_ok()
+    }
+
+    /// Records a second response that arrived `delay` after the first one.
+    pub(super) fn record_second_response(&self, delay: Duration) {
+        self.socket.record_second_response(delay);
+    }
+
     /// Returns whether the connection can take a request, as far as the runtime has been notified.
     pub(super) fn is_ready(&self) -> bool {
         self.sender.is_ready()
--- a/src/proxy/backends/mod.rs
+++ b/src/proxy/backends/mod.rs
@@ -9,6 +9,7 @@
 //! | `pool` | reuse, keeping and closing of idle connections |
 //! | `connection` | connecting; one connection and its socket |
 //! | `stray_bytes` | bytes that belong to no request, and the reuse delay that follows them |
+//! | `repeated_response` | responses that may be second responses to earlier requests |
 //! | `call` | the request that attempts send; the deadlines and the result of an attempt |
 //! | `attempt`, `health_check` | one attempt of a request; one health check |
 //! | `request`, `exchange`, `relay` | building a request; its exchange for a response; relaying a streamed response |
@@ -26,6 +27,7 @@
 mod load_report;
 mod pool;
 mod relay;
+mod repeated_response;
 mod request;
 mod response;
 mod stray_bytes;
--- a/src/proxy/backends/pool.rs
+++ b/src/proxy/backends/pool.rs
@@ -7,7 +7,11 @@
 use super::connection::{Connection, Connector};
 use super::error::BackendError;
 use super::listed_backends::ListedBackends;
+use super::repeated_response::{Fingerprint, HOLD_TIME, RepeatTrust};
+use super::response::ResponseHead;
+use crate::proxy::bodies::BufferedBody;
 use crate::proxy::counters::Counters;
+use hyper::StatusCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -42,6 +46,7 @@
     connect_timeout: Duration,
     /// The longest time for which a connection may be idle and still be used.
     max_idle: Duration,
+    repeat_trust: RepeatTrust,
 }
 
 impl ConnectionPool {
@@ -55,6 +60,7 @@
             max_idle: idle_timeout
                 .saturating_sub(IDLE_MARGIN)
                 .max(idle_timeout / 2),
+            repeat_trust: RepeatTrust::default(),
         }
     }
 
@@ -93,6 +99,32 @@
         self.connect(backend, deadline).await
     }
 
+    /// Returns whether a complete response that has just been received is a second response to an earlier request. A
+    /// repeated response is held for that, at the longest until `deadline`.
+    pub(super) async fn is_second_response(
+        &self,
+        connection: &mut Connection,
+        head: &ResponseHead,
+        body: &BufferedBody,
+        deadline: Instant,
+    ) -> bool {
+        let Some(delay) = connection.record_response(Fingerprint::new(head, body)) else {
+            return false;
+        };
+        let is_served = head.status == StatusCode::OK;
+        if self.repeat_trust.is_trusted(is_served) {
+            return false;
+        }
+        let held_until = deadline.min(Instant::now() + HOLD_TIME);
+        let is_second = connection.is_followed_by(held_until).await;
+        if is_second {
+            connection.record_second_response(delay);
+        } else {
+            self.repeat_trust.record_genuine(is_served);
+        }
+        is_second
+    }
+
     /// Keeps a connection as idle once it is ready for another request, or closes it if it belongs to an earlier
     /// generation.
     pub(super) fn keep(&self, backend: &Rc<BackendConnections>, mut connection: Connection) {
--- a/src/proxy/backends/stray_bytes.rs
+++ b/src/proxy/backends/stray_bytes.rs
@@ -14,7 +14,7 @@
 const MIN_REUSE_DELAY: Duration = Duration::from_millis(10);
 /// The longest delay from a response to bytes that are taken for a second response. Later ones are a message about the
 /// idle connection, such as a 408 response before its close.
-const MAX_SECOND_RESPONSE_DELAY: Duration = Duration::from_millis(50);
+pub(super) const MAX_SECOND_RESPONSE_DELAY: Duration = Duration::from_millis(50);
 /// The reuse delay is this multiple of the longest recent delay of a second response.
 const REUSE_DELAY_FACTOR: u32 = 2;
 /// Time for which a second response determines the reuse delay.
--- a/src/proxy/bodies/buffered.rs
+++ b/src/proxy/bodies/buffered.rs
@@ -28,6 +28,11 @@
 }
 
 impl BufferedBody {
+    /// Returns the pieces in order, without consuming the body.
+    pub fn pieces(&self) -> impl Iterator<Item = &[u8]> {
+        self.pieces.iter().map(|piece| &**piece)
+    }
+
     /// Returns the pieces in order.
     pub fn into_pieces(self) -> impl Iterator<Item = Bytes> {
         self.pieces.into_iter()
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -244,6 +244,76 @@
     }
 }
 
+/// Guards against the first second response of a process if it comes after the reuse delay: it must not be served to
+/// another request. Whether that request ran is not known then.
+#[tokio::test(start_paused = true)]
+async fn a_second_response_after_the_reuse_delay_is_not_used_for_a_later_request() {
+    for delay in [12, 20, 30, 45].map(Duration::from_millis) {
+        for work in [0, 5, 20, 150].map(Duration::from_millis) {
+            let backend = RepeatingBackend {
+                work,
+                delay,
+                repeated: 2,
+            };
+            LocalSet::new().run_until(check_no_foreign(backend)).await;
+        }
+    }
+}
+
+/// Sends requests one after another without a pause, and checks that none is served with another one's response, and
+/// that at most one is not served.
+async fn check_no_foreign(backend: RepeatingBackend) {
+    let backend_client = start_backend(move |stream| backend.serve(stream)).await;
+    let mut corrupt = 0;
+    for path in ["/0", "/1", "/2", "/3", "/4", "/5", "/6", "/7", "/8", "/9"] {
+        let ended = attempt(&backend_client, path).await;
+        match ended.outcome {
+            Outcome::CorruptResponse => corrupt += 1,
+            _ => assert_eq!(
+                served_body(ended),
+                path,
+                "work {:?}, delay {:?}",
+                backend.work,
+                backend.delay
+            ),
+        }
+    }
+    assert!(
+        corrupt <= 1,
+        "{corrupt} requests without a response, work {:?}, delay {:?}",
+        backend.work,
+        backend.delay
+    );
+}
+
+/// Backends may send equal responses to different requests. They are served, and only the first one later.
+#[tokio::test(start_paused = true)]
+async fn equal_responses_to_different_requests_are_served() {
+    const REQUESTS: u32 = 100;
+    /// The longest time for which a response is held.
+    const HOLD_TIME: Duration = Duration::from_millis(250);
+    /// The reuse delay, and the timer's granularity twice: in the delay and in the response.
+    const TIME_PER_REQUEST: Duration = Duration::from_millis(12);
+    let test = async {
+        let backend_client = start_backend(|mut stream| async move {
+            while read_head(&mut stream).await.is_some() {
+                let _ = stream.write_all(response_with("done").as_bytes()).await;
+            }
+        })
+        .await;
+        let started_at = Instant::now();
+        for _ in 0..REQUESTS {
+            assert_eq!(get(&backend_client, "/same").await, "done");
+        }
+        let elapsed = started_at.elapsed();
+        assert!(
+            elapsed < HOLD_TIME + REQUESTS * TIME_PER_REQUEST,
+            "{elapsed:?}"
+        );
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// A chunked response and the rate at which its client reads it.
 #[derive(Clone, Copy)]
 struct ChunkedResponse {
