Open another connection while the only idle one to a backend rests

Cause: a proxy with few slots sends request after request to one backend on its only connection, so each waits for the delay while the slot stands idle, and the wait counts as the backend's latency.

Change: where the only idle connection rests, one more is opened, and the request takes the first one that can be used. One at a time for each backend, and none while another idle connection exists or no socket is left.

Why it works: the two connections then rest in turn, and the additional one is opened once, not for each request.

--- a/src/proxy/backends/backend_connections.rs
+++ b/src/proxy/backends/backend_connections.rs
@@ -25,6 +25,17 @@
     generation: Cell<u64>,
     /// The idle connections, the one that has been idle for longest first.
     idle: RefCell<Vec<IdleConnection>>,
+    /// Whether an additional connection is being opened.
+    is_opening: Cell<bool>,
+}
+
+/// Marks that an additional connection to a backend is being opened, until it is dropped.
+pub(super) struct OpeningGuard(Rc<BackendConnections>);
+
+impl Drop for OpeningGuard {
+    fn drop(&mut self) {
+        self.0.is_opening.set(false);
+    }
 }
 
 impl BackendConnections {
@@ -35,6 +46,7 @@
             ready: Cell::new(false),
             generation: Cell::new(0),
             idle: RefCell::default(),
+            is_opening: Cell::new(false),
         })
     }
 
@@ -79,13 +91,23 @@
         self.close_idle();
     }
 
-    /// Adds an idle connection.
+    /// Adds an idle connection, or closes it if it belongs to an earlier generation.
     pub(super) fn add_idle(&self, added: IdleConnection) {
+        if added.connection.generation != self.generation() {
+            return;
+        }
         let mut idle = self.idle.borrow_mut();
         let position = idle.partition_point(|other| other.since <= added.since);
         idle.insert(position, added);
     }
 
+    /// Marks that an additional connection is being opened until the returned guard is dropped. Returns `None` if one
+    /// is being opened already.
+    pub(super) fn begin_opening(self: &Rc<Self>) -> Option<OpeningGuard> {
+        let is_first = !self.is_opening.replace(true);
+        is_first.then(|| OpeningGuard(Rc::clone(self)))
+    }
+
     /// Removes and returns the most recently used one of the connections that have been idle for at least `rest`, or
     /// else the one that has been idle for longest; `None` if no connection is idle.
     pub(super) fn take_idle(&self, rest: Duration) -> Option<IdleConnection> {
--- a/src/proxy/backends/mod.rs
+++ b/src/proxy/backends/mod.rs
@@ -47,7 +47,7 @@
 
 /// Sends attempts and health checks to the listed backends, and owns the connections to them.
 pub struct BackendClient {
-    pool: ConnectionPool,
+    pool: Rc<ConnectionPool>,
     load_reports: LoadReportParser,
 }
 
@@ -69,7 +69,7 @@
             idle_timeout: Duration::from_micros(idle_timeout),
         };
         Rc::new(Self {
-            pool: ConnectionPool::new(limits, counters),
+            pool: Rc::new(ConnectionPool::new(limits, counters)),
             load_reports: LoadReportParser::new(load_report_fields),
         })
     }
--- a/src/proxy/backends/pool.rs
+++ b/src/proxy/backends/pool.rs
@@ -14,6 +14,7 @@
 use hyper::StatusCode;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Interval between two sweeps for connections that have been idle for too long.
@@ -79,11 +80,14 @@
 
     /// Returns a clean idle connection after its reuse delay, or a new connection.
     ///
+    /// If the only idle connection has been used too recently, another one is opened in the meantime, and the first one
+    /// that can be used is returned.
+    ///
     /// # Errors
     /// [`BackendError`] if no connection is established by the deadline.
     pub(super) async fn connection(
-        &self,
-        backend: &BackendConnections,
+        self: &Rc<Self>,
+        backend: &Rc<BackendConnections>,
         deadline: Instant,
     ) -> Result<Connection, BackendError> {
         while let Some(idle) = self.take_idle(backend) {
@@ -91,7 +95,15 @@
             if Instant::now() >= reusable_at {
                 return Ok(idle.connection);
             }
-            sleep_until(reusable_at.min(deadline)).await;
+            let additional = self.open_additional(backend);
+            tokio::select! {
+                biased;
+                () = sleep_until(reusable_at.min(deadline)) => {}
+                Ok(connection) = additional => {
+                    backend.add_idle(idle);
+                    return Ok(connection);
+                }
+            }
             if self.is_clean(&idle) {
                 return Ok(idle.connection);
             }
@@ -99,6 +111,34 @@
         self.connect(backend, deadline).await
     }
 
+    /// Opens a connection in a task of its own, unless every socket is in use or the task for an earlier one is still
+    /// running. The connection is passed to the receiver, or kept as idle if the receiver has been dropped.
+    fn open_additional(
+        self: &Rc<Self>,
+        backend: &Rc<BackendConnections>,
+    ) -> oneshot::Receiver<Connection> {
+        let (sender, receiver) = oneshot::channel();
+        let has_room = backend.oldest_idle_since().is_none()
+            && self.connector.open_sockets() < self.max_sockets;
+        if has_room && let Some(opening) = backend.begin_opening() {
+            let pool = Rc::clone(self);
+            let backend = Rc::clone(backend);
+            tokio::task::spawn_local(async move {
+                let deadline = Instant::now() + pool.connect_timeout;
+                if let Ok(connection) = pool.connect(&backend, deadline).await
+                    && let Err(connection) = sender.send(connection)
+                {
+                    backend.add_idle(IdleConnection {
+                        connection,
+                        since: Instant::now(),
+                    });
+                }
+                drop(opening);
+            });
+        }
+        receiver
+    }
+
     /// Returns whether a complete response that has just been received is a second response to an earlier request. A
     /// repeated response is held for that, at the longest until `deadline`.
     pub(super) async fn is_second_response(
@@ -132,7 +172,7 @@
         let backend = Rc::clone(backend);
         tokio::task::spawn_local(async move {
             let ready = timeout(READY_TIMEOUT, connection.ready()).await;
-            if matches!(ready, Ok(Ok(()))) && backend.generation() == connection.generation {
+            if matches!(ready, Ok(Ok(()))) {
                 backend.add_idle(IdleConnection {
                     connection,
                     since: Instant::now(),
