--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{HeaderMap, Method, Uri};
+use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -244,6 +245,33 @@
     }
 }
 
+/// Guards against requests that wait for the reuse delay of the only connection to their backend, one after another. The
+/// two connections are used in turn, so no further ones are opened.
+#[tokio::test(start_paused = true)]
+async fn consecutive_requests_use_two_connections_in_turn() {
+    let test = async {
+        let backend = RepeatingBackend {
+            work: Duration::from_millis(15),
+            delay: Duration::ZERO,
+            repeated: usize::MAX,
+        };
+        let connections = Rc::new(Cell::new(0));
+        let accepted = Rc::clone(&connections);
+        let backend_client = start_backend(move |stream| {
+            accepted.set(accepted.get() + 1);
+            backend.serve(stream)
+        })
+        .await;
+        for path in ["/0", "/1", "/2", "/3", "/4", "/5", "/6", "/7", "/8", "/9"] {
+            assert_eq!(get(&backend_client, path).await, path);
+            // Until the connection is idle, the next request opens another one in any case.
+            sleep(Duration::from_millis(1)).await;
+        }
+        assert_eq!(connections.get(), 2);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Guards against the first second response of a process if it comes after the reuse delay: it must not be served to
 /// another request. Whether that request ran is not known then.
 #[tokio::test(start_paused = true)]
