Let connections rest in two tests that count connections

The tests send requests at once behind each other and expect the same connection. They now wait for the end of the reuse delay first. Each check of a connection's number is kept.

--- a/tests/proxy/connection_reuse.rs
+++ b/tests/proxy/connection_reuse.rs
@@ -2,6 +2,15 @@
 
 use crate::rig::*;
 use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
+
+/// Waits until the connection of the last request may be used again. The end of the reuse delay cannot be observed from
+/// outside; a request that comes earlier uses an additional connection.
+fn wait_for_reuse_delay() {
+    const LONGER_THAN_REUSE_DELAY: Duration = Duration::from_millis(30);
+    thread::sleep(LONGER_THAN_REUSE_DELAY);
+}
 
 #[test]
 fn a_connection_that_its_backend_has_closed_is_not_reused() {
@@ -60,6 +69,7 @@
     );
     let mut client = proxy.client();
     assert_eq!(client.exchange(&request("charge", "1", "x")).status(), 200);
+    wait_for_reuse_delay();
     assert_eq!(client.exchange(&request("charge", "2", "x")).status(), 200);
     let first = backend.next_request().connection;
     let second = backend.next_request().connection;
@@ -99,6 +109,7 @@
                 b"from the new"
             );
             assert_eq!(backend.next_request().connection, 1);
+            wait_for_reuse_delay();
         }
         discovery.publish_and_wait(true, &[listed("s-2")]);
         assert_eq!(client.exchange(&request("charge", "4", "x")).status(), 200);
