--- a/src/proxy/bodies/stall.rs
+++ b/src/proxy/bodies/stall.rs
@@ -9,7 +9,7 @@
 /// of a body sends as many within [`BODY_STALL_TIME`].
 pub const BODY_PROGRESS_BYTES: usize = 6 * 1024;
 
-/// The progress of a body: the last time at which the sender had sent [`BODY_PROGRESS_BYTES`] more.
+/// The progress of a body: the last time at which the sender had sent `BODY_PROGRESS_BYTES` more.
 #[derive(Clone, Copy, Debug)]
 pub struct BodyProgress {
     last_at: Instant,
