--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Slow uploads hold every client connection of the proxy, and other clients get no answer."""
+"""Peers that send much at once and go drive the proxy over its memory limit, and the platform kills it."""
 
 import asyncio
 import os
@@ -6,70 +6,99 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
-from harness2 import BATCH, LOG, Proxy, answers_after, free_port, main, now, read_message, request, trouble
+from harness2 import BATCH, Proxy, main, now, read_message, request, response, trouble
 
-# Sockets, slow uploads, other requests, and whether the platform holds the listening socket. Memory is 32 MB.
-DEPLOYMENTS = [(256, 64, 12, True), (1024, 170, 30, False)]
-BODY = 320_000
-PIECE = 6_400  # every 0.1 s: 64 kB a second
-LEFT_MS = 1_000
-# The answer is due within the client's time, and is lost half a second later; 50 ms of slack on sockets.
-LOST_AFTER_S = LEFT_MS / 1000 + 0.5 + 0.05
+MEMORY_MB, SOCKETS = 32, 256
+CLIENTS = 85
+assert CLIENTS <= SOCKETS // 3
+BODY = 65_536
+ANSWER = 60_000
+WORK_S = 0.15
+PEERS = 150
+PEER_BODY = 1_000_000
+PEER_SENDS = 900_000
+PEER_STAYS_S = 0.15
+WARM_S, LENGTH_S = 3.0, 30.0
 
 
-async def answer(world, rid, reader, writer, last_byte_at):
-    """Waits for the answer as long as it may take. Returns the breach, if there is one."""
-    try:
-        message = await asyncio.wait_for(read_message(reader), LOST_AFTER_S)
-    except asyncio.TimeoutError:
-        world.record(f"client {rid}: no answer {now() - last_byte_at:.3f} s after its last byte, leaves")
-        return f"{rid} has no answer {LOST_AFTER_S:.2f} s after its last byte"
-    finally:
-        writer.close()
-    # A connection that is closed unread is no breach here: the client would send the request once more.
-    world.record(f"client {rid}: {message.status if message else 'closed'} after {now() - last_byte_at:.3f} s")
-    return None
+async def case(world):
+    async def answer(message, writer):
+        await asyncio.sleep(WORK_S)
+        writer.write(response("200 OK", b"a" * ANSWER))
 
+    backends, discovery = await world.backends(10, answer)
+    for backend in backends:
+        backend.record = lambda text: None  # thousands of requests
+    proxy = Proxy(world, "n1", world.config(discovery, memory_mb=MEMORY_MB, sockets=SOCKETS))
+    await proxy.start()
+    began = now()
+    answers = {}
+    peers_sent = [0]
+    peak_kib = [0]
 
-async def upload(world, rid, delay):
-    await asyncio.sleep(delay)
-    reader, writer = await world.connect()
-    world.record(f"client {rid}: sends {BODY} bytes, {'64 kB a second' if trouble() else 'at once'}")
-    writer.write(request(BATCH, rid, LEFT_MS, b"", BODY))
-    for _ in range(BODY // PIECE):
-        if trouble():
-            await asyncio.sleep(0.1)
-        writer.write(b"u" * PIECE)
-        await writer.drain()
-    return await answer(world, rid, reader, writer, now())
+    def running():
+        return proxy.process.returncode is None and now() - began < LENGTH_S
 
+    async def platform():
+        """Kills the proxy over its limit, as DEPLOY says. Counts anonymous memory alone, the least that counts."""
+        next_line = 0.0
+        while running():
+            with open(f"/proc/{proxy.process.pid}/status", encoding="ascii") as file:
+                used = next((int(line.split()[1]) for line in file if line.startswith("RssAnon:")), 0)
+            peak_kib[0] = max(peak_kib[0], used)
+            if now() >= next_line:
+                world.record(f"memory {used} KiB, limit {MEMORY_MB * 1024}; answers {answers}, peers {peers_sent[0]}")
+                next_line = now() + 1
+            if used > MEMORY_MB * 1024:
+                world.record(f"the platform kills the proxy: memory {used} KiB, limit {MEMORY_MB * 1024}")
+                proxy.process.kill()
+                await proxy.process.wait()
+                return [f"the proxy was killed for memory: {used} KiB of {MEMORY_MB * 1024}"]
+            await asyncio.sleep(0.005)
+        if proxy.process.returncode is not None:
+            return [f"the proxy ended with {proxy.process.returncode}"]
+        return []
 
-async def other(world, rid):
-    reader, writer = await world.connect()
-    world.record(f"client {rid}: sends a whole request, X-Time-Left-Ms {LEFT_MS}")
-    writer.write(request(LOG, rid, LEFT_MS, b"calibration"))
-    await writer.drain()
-    return await answer(world, rid, reader, writer, now())
+    async def client(i):
+        connection, count = None, 0
+        while running():
+            count += 1
+            try:
+                reader, writer = connection = connection or await world.connect()
+                writer.write(request(BATCH, f"batch-{i}-{count}", 1000, b"b" * BODY))
+                message = await asyncio.wait_for(read_message(reader), 6)
+            except (OSError, asyncio.TimeoutError):
+                message = None
+            status = message.status if message else "closed"
+            answers[status] = answers.get(status, 0) + 1
+            if message is None:
+                connection = None
+            await asyncio.sleep(0.02)
 
+    async def peer(i, wave):
+        """Sends most of a request at once and goes."""
+        try:
+            _, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            writer.write(request(BATCH, f"peer-{i}-{wave}", 1000, b"p" * PEER_SENDS, PEER_BODY))
+            peers_sent[0] += 1
+            await asyncio.sleep(PEER_STAYS_S)
+            writer.transport.abort()
+        except OSError:
+            pass
 
-async def case(world):
-    _, discovery = await world.backends(5, answers_after(0.05))
-    breaches = []
-    for sockets, uploads, others, with_descriptor in DEPLOYMENTS:
-        assert uploads + others <= sockets // 3
-        world.record(f"deployment of {sockets} descriptors and 32 MB, clients hold {uploads + others} descriptors")
-        if not with_descriptor:
-            world.port = free_port()
-        proxy = Proxy(world, "n1", world.config(discovery, memory_mb=32, sockets=sockets), with_descriptor)
-        await proxy.start()
-        slow = [asyncio.create_task(upload(world, f"upload-{sockets}-{i}", i * 0.003)) for i in range(uploads)]
-        await asyncio.sleep(1.5)
-        results = await asyncio.gather(*(other(world, f"log-{sockets}-{i}") for i in range(others)))
-        results += await asyncio.gather(*slow)
-        breaches += [breach for breach in results if breach]
-        proxy.process.kill()
-        await proxy.process.wait()
-    return breaches
+    async def bursts():
+        await asyncio.sleep(WARM_S)
+        wave = 0
+        while running():
+            wave += 1
+            await asyncio.gather(*(peer(i, wave) for i in range(PEERS)))
+
+    tasks = [platform(), *(client(i) for i in range(CLIENTS))]
+    if trouble():
+        tasks.append(bursts())
+    results = await asyncio.gather(*tasks)
+    world.record(f"most memory {peak_kib[0]} KiB; answers to clients {answers}; peers that sent and went {peers_sent[0]}")
+    return results[0]
 
 
-main(case, FOLDER, with_descriptor=True)
+main(case, FOLDER)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -8,10 +8,11 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 from harness2 import LOG, Proxy, answers_after, main, now, read_message, request, trouble
 
-CLIENTS = 12
-BODY = 2_400_000
-WORK_S = 0.25
-LEAVE_AFTER_S = 0.02
+ROUNDS = 6
+SHORT, LONG = 4, 6
+BODY = 2_200_000
+WORK_S = 0.24
+LEAVE_AFTER_S = 0.005
 # An attempt that begins more than 0.1 s after the close is a break; 50 ms of slack on sockets.
 LIMIT_S = 0.1 + 0.05
 
@@ -29,13 +30,20 @@
     await Proxy(world, "n1", world.config(discovery)).start()
     closed_at = {}
 
-    async def client(i):
-        rid = f"log-{i}"
+    async def short(rid):
+        """A client with a short request, which occupies a backend and gets its answer."""
         reader, writer = await world.connect()
-        writer.write(request(LOG, rid, 3000, b"c" * BODY))
+        writer.write(request(LOG, rid, 3000, b"calibration"))
+        message = await asyncio.wait_for(read_message(reader), 5)
+        world.record(f"client {rid}: {message.status if message else 'closed'}")
+        writer.close()
+
+    async def long(rid):
+        reader, writer = await world.connect()
+        writer.write(request(LOG, rid, 3000, body))
         await writer.drain()
         while writer.transport.get_write_buffer_size():
-            await asyncio.sleep(0.005)
+            await asyncio.sleep(0.002)
         world.record(f"client {rid}: has written its last byte")
         if trouble():
             await asyncio.sleep(LEAVE_AFTER_S)
@@ -47,8 +55,12 @@
             world.record(f"client {rid}: {message.status if message else 'closed'}")
             writer.close()
 
-    await asyncio.gather(*(client(i) for i in range(CLIENTS)))
-    await asyncio.sleep(3)
+    body = b"c" * BODY
+    for turn in range(ROUNDS):
+        shorts = [asyncio.create_task(short(f"short-{turn}-{i}")) for i in range(SHORT)]
+        await asyncio.sleep(0.01)
+        await asyncio.gather(*(long(f"log-{turn}-{i}") for i in range(LONG)), *shorts)
+        await asyncio.sleep(0.8)
     return [f"an attempt of {rid} began {at - closed_at[rid]:.3f} s after its client had left"
             for rid, at in begun if rid in closed_at and at - closed_at[rid] > LIMIT_S]
 
