Reproduce uploads that are never answered when their backends stop reading

Callers of three proxies had no answer 3.6 s after the time of large chunked requests whose backends had stopped reading at 16 to 30 kB.

Timeline from the evidence: the request is received, no answer and no log line follow; the client gives up. Hypotheses: the last byte is taken for outstanding; an attempt that has ended is not reported; the driver's timer is lost.

--- a/tests/proxy/bodies.rs
+++ b/tests/proxy/bodies.rs
@@ -1,6 +1,7 @@
 //! Large bodies of requests and responses: streamed in bounded memory, and never sent again in part.
 
 use crate::rig::*;
+use crate::stuck_uploads::backend_that_stops_reading;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::{Receiver, channel};
@@ -355,24 +356,6 @@
     }
 }
 
-/// Starts a backend that reads this much of the first request on each connection and then nothing more.
-fn backend_that_stops_reading(bytes: usize) -> SocketAddr {
-    let (listener, address) = bind_listener("127.0.0.1:0");
-    thread::spawn(move || {
-        let mut streams = Vec::new();
-        for stream in listener.incoming() {
-            let mut stream = stream.expect("the listener stays open");
-            let mut unread = bytes;
-            while unread > 0 {
-                let read = stream.read(&mut vec![0; unread]).unwrap_or(0);
-                unread = if read == 0 { 0 } else { unread - read };
-            }
-            streams.push(stream);
-        }
-    });
-    address
-}
-
 /// Guards against requests that are never answered because their backend stops reading their body: neither the attempt
 /// nor the request timed out before the last byte was forwarded.
 #[test]
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -18,3 +18,4 @@
 mod shutdown;
 mod slow_responses;
 mod startup;
+mod stuck_uploads;
--- a/tests/proxy/rig/mod.rs
+++ b/tests/proxy/rig/mod.rs
@@ -9,6 +9,7 @@
 mod message;
 mod process;
 mod saturated_backend;
+mod socket_buffers;
 
 pub use backend::{
     Backend, Reply, backend_that_closes_on_signal, backend_that_holds_first_request, ok,
@@ -22,6 +23,7 @@
     Proxy, proxy_command, spawn_process, start_with_listener, start_with_little_memory,
 };
 pub use saturated_backend::{INITIAL_LIMIT, backend_that_holds_initial_limit, saturate};
+pub use socket_buffers::SocketBuffers;
 use std::net::{SocketAddr, TcpListener, ToSocketAddrs};
 use std::time::Duration;
 
