Let the kernel hold at most 64 KiB that a peer has not taken yet

Clients that read long responses at up to 64 kB/s, steadily, were reset after 11 s; one at 128 kB/s after 20 s, one with a receive buffer of 1 MiB after 41 s (scratch clients, trials).

Cause: a client that reads nothing for 10 s is given up, and reading was taken from the readiness of the socket to be written. The kernel reports that only once a third of its send buffer is free: 0.9 of 2.6 MB on this loopback, 1.3 of 4 MB elsewhere, 14 to 21 s at 64 kB/s.

Change: TCP_NOTSENT_LOWAT on connections to clients and backends, so that the socket becomes writable with every 32 KiB that the peer takes. A stopped backend also leaves less of a request beyond the proxy's control, and slow clients hold less memory of the kernel.

--- a/src/proxy/socket.rs
+++ b/src/proxy/socket.rs
@@ -15,6 +15,9 @@
 const LINGER_QUIET_TIME: Duration = Duration::from_millis(500);
 /// The longest time for which a connection that is being closed is read.
 const MAX_LINGER_TIME: Duration = Duration::from_secs(2);
+/// The number of bytes that the kernel holds for a peer that does not take them yet. A kernel that buffers megabytes
+/// reports only after many seconds that a slow peer has taken some, and sends them even after their sender has given up.
+const MAX_UNSENT_BYTES: u32 = 64 * 1024;
 /// Size of the buffer for the bytes that are read from a connection that is being closed, and discarded.
 const LINGER_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -37,6 +40,8 @@
     /// Creates a socket from a connected stream.
     #[must_use]
     pub fn new(stream: TcpStream) -> Self {
+        // A kernel without the option buffers more.
+        let _ = socket2::SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
         Self(Rc::new(stream))
     }
 
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -16,6 +16,7 @@
 mod retries;
 mod rig;
 mod shutdown;
+mod slow_readers;
 mod slow_responses;
 mod startup;
 mod stuck_uploads;
