Do not complete an upload whose client has left behind unread bytes

Cause: while the backend takes nothing the body is not read, so the close stays behind it in the kernels. When the backend went on, the rest was forwarded with its last byte, and the close was seen right after.

Change: before the last byte, or the end of a chunked body, is passed on, the kernel is asked whether the connection has ended behind it. Such a body ends as incomplete, and its backend cannot run it.

The test failed before, among others for 3 MB with a length and a close, and passes now. What lies in the kernel's buffers to the backend (up to 64 KiB and the backend's own) when the client leaves cannot be taken back and still arrives.

--- a/src/proxy/bodies/upload.rs
+++ b/src/proxy/bodies/upload.rs
@@ -126,6 +126,11 @@
         }
     }
 
+    /// Returns whether the client has left. All that it has sent must have been read.
+    fn has_client_left(&self) -> bool {
+        self.request.connection.has_ended()
+    }
+
     /// Returns whether a part of the body was forwarded, so that the body cannot be sent again.
     #[must_use]
     pub fn is_consumed(&self) -> bool {
@@ -240,7 +245,8 @@
         while let Some(Ok(_)) = self.frame().await {}
     }
 
-    /// Passes data to hyper, which writes it to the backend, and counts it.
+    /// Passes data to hyper, which writes it to the backend, and counts it. The last byte is not passed on for a client that
+    /// has left.
     fn forward(&mut self, data: Bytes) -> FramePoll {
         self.progress.consumed.set(true);
         self.length.forward(data.len());
@@ -248,6 +254,9 @@
             return self.fail(BodyError::TooLarge);
         }
         if self.length.is_complete() {
+            if self.progress.has_client_left() {
+                return self.fail(BodyError::Incomplete(None));
+            }
             self.progress.set_stalled(false);
             self.progress.finish();
         }
@@ -260,7 +269,17 @@
         Poll::Ready(Some(Err(error)))
     }
 
-    /// Ends the body after its last byte.
+    /// Ends the body after its last byte, unless the client has left: a backend runs a request that is complete.
+    fn end(&self) -> FramePoll {
+        let is_finished = self.progress.finished_at().is_some();
+        if !is_finished && self.progress.has_client_left() {
+            return self.fail(BodyError::Incomplete(None));
+        }
+        self.finish();
+        Poll::Ready(None)
+    }
+
+    /// Records the end of the body.
     fn finish(&self) {
         // The request of a body of unknown length is completely written only at the end of the body.
         let is_of_unknown_length = self.length.remaining().is_none();
@@ -314,10 +333,7 @@
                 Poll::Ready(Some(Err(error))) => {
                     return self.fail(BodyError::Incomplete(Some(error)));
                 }
-                Poll::Ready(None) => {
-                    self.finish();
-                    return Poll::Ready(None);
-                }
+                Poll::Ready(None) => return self.end(),
                 Poll::Pending => return self.poll_deadline(cx),
             }
         }
--- a/src/proxy/connections.rs
+++ b/src/proxy/connections.rs
@@ -201,6 +201,12 @@
         !self.read_ahead.borrow().is_empty() || self.socket.unread() == Unread::Bytes
     }
 
+    /// Returns whether the connection has ended and all bytes before its end have been read. This takes a system call.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.read_ahead.borrow().is_empty() && self.socket.unread() == Unread::End
+    }
+
     /// Returns the time by which the client must send or read more, or `None` while the proxy has to respond, or while
     /// a body or the end of the connection has a time limit of its own.
     #[must_use]
--- a/tests/proxy/client_disconnect.rs
+++ b/tests/proxy/client_disconnect.rs
@@ -1,8 +1,10 @@
 //! Clients that disconnect: their requests are neither sent to a backend nor retried afterwards.
 
 use crate::rig::*;
-use std::net::Shutdown;
-use std::sync::mpsc::Sender;
+use std::io::{BufReader, Cursor, Read};
+use std::net::{Shutdown, SocketAddr};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// How a client disconnects.
@@ -403,7 +405,68 @@
         client.send(&text);
         wait_for_requests_in_progress(&proxy, INITIAL_LIMIT + 1);
         drop(client);
-        std::thread::sleep(WAIT);
+        thread::sleep(WAIT);
         assert_only_new_requests_are_sent(&proxy, &backend, clients, &releases);
     }
 }
+
+/// Guards against long requests that became complete at their backends after their clients had left: the close stayed behind
+/// the part of the body that was not read, and the last byte was forwarded before the close was seen.
+#[test]
+fn an_upload_whose_client_disconnects_behind_unread_bytes_does_not_become_complete() {
+    const BACKEND_PAUSE: Duration = Duration::from_millis(500);
+    /// What the backend reads before its pause.
+    const READ_BYTES: usize = 20_000;
+    let plays: Vec<_> = [3_000_000, 5_000_000]
+        .into_iter()
+        .flat_map(|length| [(length, false), (length, true)])
+        .flat_map(|(length, is_chunked)| DISCONNECTS.map(|way| (length, is_chunked, way)))
+        .map(|(length, is_chunked, way)| {
+            thread::spawn(move || {
+                let name = format!("left-upload-{length}-{is_chunked}-{way:?}");
+                let discovery = Discovery::start();
+                let (backend, received) = backend_that_pauses_reading(READ_BYTES, BACKEND_PAUSE);
+                let proxy = Proxy::start_with_backend(&name, &discovery, backend);
+                let mut client = proxy.client();
+                client.send(&request_with_long_body("left", length, is_chunked));
+                let started = received.recv_timeout(TEST_TIMEOUT);
+                assert!(matches!(started, Ok(Progress::Started)), "{name}");
+                let half_closed = disconnect(client, way);
+                let ended = received.recv_timeout(TEST_TIMEOUT);
+                let is_incomplete = matches!(ended, Ok(Progress::Ended { is_complete: false }));
+                assert!(is_incomplete, "{name}: {ended:?}");
+                drop(half_closed);
+            })
+        })
+        .collect();
+    for play in plays {
+        play.join().expect("no request becomes complete");
+    }
+}
+
+/// How far a backend has received a request.
+#[derive(Debug)]
+enum Progress {
+    Started,
+    Ended { is_complete: bool },
+}
+
+/// Starts a backend that reads this much of one request, pauses, and reads on. Returns its address and its progress.
+fn backend_that_pauses_reading(bytes: usize, pause: Duration) -> (SocketAddr, Receiver<Progress>) {
+    let (listener, address) = bind_listener("127.0.0.1:0");
+    let (sender, received) = channel();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the proxy connects");
+        let limited = stream.set_read_timeout(Some(TEST_TIMEOUT / 4));
+        limited.expect("the timeout is not zero");
+        let mut start = vec![0; bytes];
+        let read = stream.read_exact(&mut start);
+        read.expect("the proxy sends the start of the request");
+        let _ = sender.send(Progress::Started);
+        thread::sleep(pause);
+        let mut reader = BufReader::new(Cursor::new(start).chain(stream));
+        let is_complete = read_message(&mut reader).is_some();
+        let _ = sender.send(Progress::Ended { is_complete });
+    });
+    (address, received)
+}
