Count a chunked request as written only when its socket has taken its end

A chunked request counted as completely written as soon as its end was passed to hyper, which may still hold up to 16 KiB of it because the backend takes nothing. Such an attempt was not abandoned when its client left or its request was answered, and hyper wrote the end later.

Change: the size on the wire is counted chunk by chunk, and compared with the bytes that the socket has taken, as for other requests (RequestExtent). The encoding is stated explicitly, so that the size of the head is known.

Unit tests of RequestExtent; the type did not exist before. An end-to-end test that holds exactly the end back was not found.

--- a/src/proxy/backends/attempt.rs
+++ b/src/proxy/backends/attempt.rs
@@ -8,12 +8,11 @@
 use super::error::BackendError;
 use super::exchange::exchange;
 use super::relay::relay_body;
-use super::request::{build_request, minimum_size};
+use super::request::{RequestExtent, build_request};
 use super::response::{BackendBody, BackendResponse, PartialBody, ResponseHead};
 use crate::api::Outcome;
-use crate::proxy::bodies::{RequestBody, ServedBody, StreamedResponse};
+use crate::proxy::bodies::{RequestBody, ServedBody, StreamedResponse, UploadProgress};
 use hyper::Request;
-use hyper::body::Body;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -62,9 +61,7 @@
     request: Request<RequestBody>,
     /// The time until the deadline, which the request states in a header for the backend.
     remaining: Duration,
-    /// The number of bytes written on the connection, earlier requests included, at which this request is completely
-    /// written; `None` for a body of unknown length.
-    complete_at: Option<u64>,
+    extent: RequestExtent,
 }
 
 impl Attempt<'_> {
@@ -95,13 +92,13 @@
         let Some(prepared) = self.prepare(&connection, remaining) else {
             return Outcome::NotSent.into();
         };
-        let complete_at = prepared.complete_at;
+        let extent = prepared.extent;
         let exchanged = self.exchange(&mut connection, prepared, &mut cancel).await;
         // Rule 2 (idempotency): a request that was written only in part cannot run, and a complete one may have run.
         // There is no await between this check and the drop of the connection of an incomplete request, so no further
         // bytes are written.
         let is_completely_written =
-            self.is_completely_written(connection.socket.written(), complete_at);
+            extent.is_complete(connection.socket.written(), self.chunked_size());
         match exchanged {
             Ok(response) if is_completely_written => {
                 self.on_response(response, connection, cancel, on_response_start)
@@ -132,13 +129,11 @@
     fn prepare(&self, connection: &Connection, remaining: Duration) -> Option<PreparedRequest> {
         let body = self.call.body.for_attempt()?;
         let request = build_request(self.call, body, self.backend.address(), remaining);
-        let length = request.body().size_hint().exact();
-        let complete_at =
-            length.map(|length| connection.socket.written() + minimum_size(&request, length));
+        let extent = RequestExtent::new(&request, connection.socket.written());
         Some(PreparedRequest {
             request,
             remaining,
-            complete_at,
+            extent,
         })
     }
 
@@ -155,22 +150,22 @@
         let PreparedRequest {
             request,
             remaining,
-            complete_at,
+            extent,
         } = prepared;
         let memory = &self.backend_client.memory;
         let socket = Rc::clone(&connection.socket);
-        socket.begin_request(complete_at);
+        socket.begin_request(extent.complete_at());
         let cutoff_before_complete = async {
             self.wait_for_write_cutoff().await;
             // A completely written request may run, and the balancer needs its outcome, so the response is awaited.
-            if self.is_completely_written(socket.written(), complete_at) {
+            if extent.is_complete(socket.written(), self.chunked_size()) {
                 std::future::pending::<()>().await;
             }
         };
         let timeout = ExchangeTimeout {
             deadlines: self.deadlines,
             remaining,
-            upload: self.call.body.progress().map(|upload| &**upload),
+            upload: self.upload(),
         };
         tokio::select! {
             biased;
@@ -181,17 +176,14 @@
         }
     }
 
-    /// Returns whether the request is completely written on a connection that took `written` bytes. A request of
-    /// unknown length is complete at the end of its body.
-    fn is_completely_written(&self, written: u64, complete_at: Option<u64>) -> bool {
-        match complete_at {
-            Some(complete_at) => written >= complete_at,
-            None => self
-                .call
-                .body
-                .progress()
-                .is_some_and(|progress| progress.finished_at().is_some()),
-        }
+    /// Returns the size on the wire of a chunked body; `None` before its end.
+    fn chunked_size(&self) -> Option<u64> {
+        self.upload().and_then(UploadProgress::chunked_length)
+    }
+
+    /// Returns the progress of a streamed body; `None` if the body is buffered.
+    fn upload(&self) -> Option<&UploadProgress> {
+        self.call.body.progress().map(|upload| &**upload)
     }
 
     /// Returns the result of an attempt whose response arrived after the request was completely written.
@@ -299,10 +291,7 @@
 
     /// Returns whether the streamed body failed: it ended early, arrived too slowly or was too large.
     fn has_body_failed(&self) -> bool {
-        self.call
-            .body
-            .progress()
-            .is_some_and(|progress| progress.has_failed())
+        self.upload().is_some_and(UploadProgress::has_failed)
     }
 
     /// Waits until a request that is not completely written must no longer be sent, because it has ended or its write
--- a/src/proxy/backends/request.rs
+++ b/src/proxy/backends/request.rs
@@ -4,7 +4,7 @@
 use crate::proxy::bodies::RequestBody;
 use crate::proxy::header_values::REMAINING_TIME_MS;
 use hyper::body::Body;
-use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Method, Request};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -30,6 +30,9 @@
     {
         headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
     }
+    if length.is_none() {
+        headers.insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
+    }
     if !headers.contains_key(HOST)
         && let Ok(host) = HeaderValue::try_from(address.to_string())
     {
@@ -38,9 +41,42 @@
     request
 }
 
-/// Returns the minimum number of bytes that a request with a body of `body_size` bytes takes on the wire. If fewer
-/// bytes were written, the backend cannot have begun to run the request.
-pub(super) fn minimum_size(request: &Request<RequestBody>, body_size: u64) -> u64 {
+/// Where a request ends in the bytes that are written on its connection, earlier requests included. If fewer bytes were
+/// written, the backend cannot have begun to run the request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RequestExtent {
+    /// The number of bytes before the body.
+    body_at: u64,
+    /// The length of the body in bytes; `None` if it is chunked.
+    body_size: Option<u64>,
+}
+
+impl RequestExtent {
+    /// Returns the extent of a request that is about to be written on a connection with `written` bytes.
+    pub(super) fn new(request: &Request<RequestBody>, written: u64) -> Self {
+        Self {
+            body_at: written + minimum_head_size(request),
+            body_size: request.body().size_hint().exact(),
+        }
+    }
+
+    /// Returns the number of bytes at which a request of known length is completely written; `None` if it is chunked.
+    pub(super) fn complete_at(&self) -> Option<u64> {
+        self.body_size.map(|size| self.body_at + size)
+    }
+
+    /// Returns whether the request is completely written on a connection with `written` bytes. `chunked_size`
+    /// is the size on the wire of a chunked body that has been passed to hyper up to its end; hyper may not have written it
+    /// to the socket yet.
+    pub(super) fn is_complete(&self, written: u64, chunked_size: Option<u64>) -> bool {
+        self.body_size
+            .or(chunked_size)
+            .is_some_and(|size| written >= self.body_at + size)
+    }
+}
+
+/// Returns the minimum number of bytes that the head of a request takes on the wire.
+fn minimum_head_size(request: &Request<RequestBody>) -> u64 {
     let target_size = request
         .uri()
         .path_and_query()
@@ -52,5 +88,8 @@
         .iter()
         .map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len())
         .sum();
-    (line_size + headers_size + "\r\n".len()) as u64 + body_size
+    (line_size + headers_size + "\r\n".len()) as u64
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/proxy/bodies/upload.rs
+++ b/src/proxy/bodies/upload.rs
@@ -31,6 +31,11 @@
     Failed,
 }
 
+/// The line break after the data of a chunk.
+const CHUNK_END: &str = "\r\n";
+/// The chunk that ends a body, without trailers.
+const LAST_CHUNK: &str = "0\r\n\r\n";
+
 /// A request of a client connection, by its number on the connection.
 pub struct NumberedRequest {
     /// The connection on which the request arrives.
@@ -47,6 +52,8 @@
     last_byte_not_before: Cell<Instant>,
     /// Whether a part of the body was forwarded and is no longer in memory.
     consumed: Cell<bool>,
+    /// The number of bytes that the forwarded part of the body takes on the wire if it is chunked.
+    chunked_bytes: Cell<u64>,
     /// Whether the client has paused.
     is_stalled: watch::Sender<bool>,
 }
@@ -68,6 +75,7 @@
             state: Cell::default(),
             last_byte_not_before: Cell::new(Instant::now()),
             consumed: Cell::new(false),
+            chunked_bytes: Cell::new(0),
             is_stalled: watch::Sender::new(false),
         }
     }
@@ -126,6 +134,23 @@
         }
     }
 
+    /// Returns the number of bytes that a chunked body takes on the wire; `None` before its end.
+    #[must_use]
+    pub fn chunked_length(&self) -> Option<u64> {
+        self.finished_at()?;
+        Some(self.chunked_bytes.get() + LAST_CHUNK.len() as u64)
+    }
+
+    /// Counts a piece that is forwarded as a chunk of its own.
+    fn count_chunk(&self, data: &Bytes) {
+        if !data.is_empty() {
+            let size_line = format!("{:X}\r\n", data.len());
+            let chunk = size_line.len() + data.len() + CHUNK_END.len();
+            self.chunked_bytes
+                .set(self.chunked_bytes.get() + chunk as u64);
+        }
+    }
+
     /// Returns whether the client has left. All that it has sent must have been read.
     fn has_client_left(&self) -> bool {
         self.request.connection.has_ended()
@@ -253,6 +278,7 @@
         if self.length.forwarded() > MAX_FORWARDED_BODY_BYTES {
             return self.fail(BodyError::TooLarge);
         }
+        self.progress.count_chunk(&data);
         if self.length.is_complete() {
             if self.progress.has_client_left() {
                 return self.fail(BodyError::Incomplete(None));
