Do not run a request again whose id has run or is in progress

Cause: the id was claimed by the connection's task, which ends when the client leaves, while the attempt goes on.

Change: an attempt records the hash of its request's id when it begins, and removes it only if no backend can have executed the request, or if the class is idempotent and the attempt has ended (proxy/correlation_ids.rs).

Not covered: the other process of an upgrade does not know the ids.

--- a/src/proxy/backends/attempt.rs
+++ b/src/proxy/backends/attempt.rs
@@ -12,7 +12,7 @@
 use super::response::{BackendBody, BackendResponse, PartialBody, ResponseHead};
 use crate::api::Outcome;
 use crate::proxy::bodies::{RequestBody, ServedBody, StreamedResponse, UploadProgress};
-use hyper::Request;
+use hyper::{Method, Request};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -39,11 +39,20 @@
             call: &call,
             deadlines,
         };
+        if let Some(executions) = &call.executions {
+            executions.begin_attempt();
+        }
         let mut result = attempt.run(cancel, on_response_start).await;
         result.body_consumed = call
             .body
             .progress()
             .is_some_and(|progress| progress.is_consumed());
+        let may_run_again = call.method == Method::GET || result.outcome.proves_not_executed();
+        if let Some(executions) = &call.executions
+            && may_run_again
+        {
+            executions.forget();
+        }
         result
     }
 }
--- a/src/proxy/backends/call.rs
+++ b/src/proxy/backends/call.rs
@@ -3,6 +3,7 @@
 use crate::api::Outcome;
 use crate::proxy::bodies::{CallBody, ServedBody};
 use crate::proxy::client_presence::ClientPresence;
+use crate::proxy::correlation_ids::ExecutionRecord;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Uri};
 use std::cell::Cell;
@@ -50,6 +51,8 @@
     pub body: CallBody,
     /// Whether it would be noticed that the client disconnects.
     pub presence: Rc<ClientPresence>,
+    /// Records that the request may run; `None` for a request that no client sent.
+    pub executions: Option<ExecutionRecord>,
     /// Set when the request ends. An attempt whose request is not completely written at that time is abandoned.
     pub request_ended: RequestEnded,
 }
--- a/src/proxy/backends/health_check.rs
+++ b/src/proxy/backends/health_check.rs
@@ -102,6 +102,7 @@
         headers: HeaderMap::new(),
         body: BufferedBody::default().into(),
         presence: Rc::default(),
+        executions: None,
         request_ended: RequestEnded::default(),
     }
 }
--- a/src/proxy/clients/error.rs
+++ b/src/proxy/clients/error.rs
@@ -36,7 +36,7 @@
     BodyTimedOut,
     #[error("the body is broken")]
     BodyIncomplete(#[from] hyper::Error),
-    #[error("a request of this id is open")]
+    #[error("a request of this id is open or may have run")]
     DuplicateRequest,
     /// The client has disconnected, so it does not receive this response.
     #[error("the client has left")]
--- a/src/proxy/clients/inbound.rs
+++ b/src/proxy/clients/inbound.rs
@@ -55,6 +55,7 @@
             headers,
             body,
             presence: Rc::default(),
+            executions: None,
             request_ended: RequestEnded::default(),
         };
         // A request counts as arrived, and its timeout starts, with the last byte that is buffered.
--- a/src/proxy/clients/mod.rs
+++ b/src/proxy/clients/mod.rs
@@ -16,6 +16,7 @@
 use super::budget::{Budget, SocketGuard, SocketUse};
 use super::clock::Clock;
 use super::connections::{ClientConnection, ClientConnections};
+use super::correlation_ids::CorrelationIds;
 use super::counters::Counters;
 use super::lifecycle::Lifecycle;
 use super::memory::MemoryUse;
@@ -25,8 +26,7 @@
 use crate::api::{ClassIndex, Idempotency, Micros, Settings, TenantIndex};
 use crate::settings_json::Names;
 use hyper::Method;
-use hyper::header::HeaderValue;
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
@@ -87,8 +87,8 @@
     connections: RefCell<ClientConnections>,
     /// The time at which a connection was last accepted.
     last_accepted_at: Cell<Instant>,
-    /// The correlation ids of the requests that have no response yet.
-    open_ids: RefCell<FxHashSet<HeaderValue>>,
+    /// The correlation ids that no further request may have.
+    correlation_ids: Rc<CorrelationIds>,
 }
 
 impl Clients {
@@ -124,7 +124,7 @@
             is_full: Cell::new(false),
             connections: RefCell::default(),
             last_accepted_at: Cell::new(Instant::now()),
-            open_ids: RefCell::default(),
+            correlation_ids: CorrelationIds::new(),
         })
     }
 
--- a/src/proxy/clients/respond.rs
+++ b/src/proxy/clients/respond.rs
@@ -17,10 +17,8 @@
 use crate::proxy::socket_io::SocketObserver;
 use crate::proxy::time_limits::{READ_AHEAD_RETRY_INTERVAL, REQUEST_TIMEOUT};
 use hyper::body::Incoming;
-use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::header;
 use hyper::{Request, Response, StatusCode};
-use rustc_hash::FxHashSet;
-use std::cell::RefCell;
 use std::future::poll_fn;
 use std::rc::Rc;
 use std::task::Poll;
@@ -104,20 +102,22 @@
     /// Forwards a request to the driver and returns the response to its client.
     ///
     /// # Errors
-    /// [`InvalidRequest`] if the client has disconnected or an open request has the same id.
+    /// [`InvalidRequest`] if the client has disconnected, or if a request with the same id is open or may have run.
     async fn forward(
         &self,
-        inbound: InboundRequest,
+        mut inbound: InboundRequest,
         connection: &ClientConnection,
     ) -> Result<Response<ResponseBody>, InvalidRequest> {
         // The client may have disconnected while its connection waited in the kernel's queue.
         if connection.is_closed_by_client() {
             return Err(InvalidRequest::ClientDisconnected);
         }
-        // A second request with the id of an open one could be executed as a copy of it (rule 2).
-        let Some(_id) = OpenId::claim(&self.open_ids, &inbound.call.headers) else {
+        // A second request with the id of one that is open or may have run could be executed as a copy of it (rule 2).
+        let id = inbound.call.headers.get(CORRELATION_ID);
+        let Some(claimed_id) = id.and_then(|id| self.correlation_ids.claim(id)) else {
             return Err(InvalidRequest::DuplicateRequest);
         };
+        inbound.call.executions = Some(claimed_id.executions());
         let upload = inbound.call.body.pending_upload();
         let guard = self.counters.begin_request(inbound.request.class);
         let answer = self
@@ -288,24 +288,3 @@
         }
     }
 }
-
-/// The claimed correlation id of an open request. Dropping it releases the id for another request.
-struct OpenId<'a> {
-    open_ids: &'a RefCell<FxHashSet<HeaderValue>>,
-    id: HeaderValue,
-}
-
-impl<'a> OpenId<'a> {
-    /// Claims the correlation id of a request. Returns `None` if the id is missing or another open request has it.
-    fn claim(open_ids: &'a RefCell<FxHashSet<HeaderValue>>, headers: &HeaderMap) -> Option<Self> {
-        let id = headers.get(CORRELATION_ID)?.clone();
-        let is_new = open_ids.borrow_mut().insert(id.clone());
-        is_new.then(|| Self { open_ids, id })
-    }
-}
-
-impl Drop for OpenId<'_> {
-    fn drop(&mut self) {
-        self.open_ids.borrow_mut().remove(&self.id);
-    }
-}
--- a/src/proxy/driver/requests/tests.rs
+++ b/src/proxy/driver/requests/tests.rs
@@ -14,6 +14,7 @@
         headers: HeaderMap::new(),
         body: BufferedBody::default().into(),
         presence: Rc::default(),
+        executions: None,
         request_ended: RequestEnded::default(),
     };
     let (client, answer) = oneshot::channel();
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -16,6 +16,7 @@
 pub mod clock;
 pub mod config;
 pub mod connections;
+pub mod correlation_ids;
 pub mod counters;
 mod dial;
 pub mod discovery;
--- a/tests/attempts/rig.rs
+++ b/tests/attempts/rig.rs
@@ -40,6 +40,7 @@
         headers: HeaderMap::new(),
         body: CallBody::from(BufferedBody::from(Bytes::new())),
         presence: Rc::default(),
+        executions: None,
         request_ended: RequestEnded::default(),
     })
 }
--- a/tests/proxy/retries.rs
+++ b/tests/proxy/retries.rs
@@ -133,3 +133,37 @@
         "{sent_timeout:?} sent, {remaining:?} remaining"
     );
 }
+
+/// Guards against requests that ran twice because their id came again: after the client had left while the first attempt was
+/// still in progress, or after the request had been served.
+#[test]
+fn a_request_whose_id_comes_again_does_not_run_a_second_time() {
+    const WORK: Duration = Duration::from_millis(600);
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| Reply::Later(WORK, Box::new(ok("there"))));
+    let proxy = Proxy::start_with_backend("repeated-id", &discovery, backend.address);
+    for class in ["charge", "submit"] {
+        let id = format!("again-{class}");
+        let mut first = proxy.client();
+        first.send(&request(class, &id, "x"));
+        let _ = backend.next_request();
+        drop(first);
+        // The id comes again while the attempt is in progress, and after it has ended.
+        for pause in [Duration::from_millis(100), 2 * WORK] {
+            thread::sleep(pause);
+            assert_eq!(proxy.status_of(&request(class, &id, "x")), 409, "{class}");
+        }
+        let served = format!("served-{class}");
+        assert_eq!(proxy.status_of(&request(class, &served, "x")), 200);
+        assert_eq!(proxy.status_of(&request(class, &served, "x")), 409);
+        assert_eq!(backend.take_requests(), 1, "{class}");
+    }
+    // An idempotent request may run again, but not while an attempt is in progress.
+    let mut first = proxy.client();
+    first.send(&request("read", "again-read", ""));
+    let _ = backend.next_request();
+    drop(first);
+    assert_eq!(proxy.status_of(&request("read", "again-read", "")), 409);
+    thread::sleep(2 * WORK);
+    assert_eq!(proxy.status_of(&request("read", "again-read", "")), 200);
+}
