--- a/tests/proxy/retries.rs
+++ b/tests/proxy/retries.rs
@@ -167,3 +167,22 @@
     thread::sleep(2 * WORK);
     assert_eq!(proxy.status_of(&request("read", "again-read", "")), 200);
 }
+
+/// Guards against a request that ran twice because its id came again at the other process of an upgrade.
+#[test]
+fn a_request_whose_id_comes_again_at_the_other_process_of_an_upgrade_does_not_run_a_second_time() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("there"));
+    let (listener, address) = bind_listener("127.0.0.1:0");
+    let config = config_with_operator("upgraded-id", &discovery);
+    let old = start_with_listener("upgraded-id", &config, &listener);
+    discovery.publish_and_wait(true, &[active_endpoint("s-1", backend.address)]);
+    let charge = request("charge", "upgraded", "x");
+    assert_eq!(Client::connect(address).exchange(&charge).status(), 200);
+    let new = start_with_listener("upgraded-id-new", &config, &listener);
+    while new.operator_call("GET", "/control/ready").status() != 200 {}
+    old.terminate();
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(Client::connect(address).exchange(&charge).status(), 409);
+    assert_eq!(backend.take_requests(), 1);
+}
