--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the proxy's program over loopback sockets, with backends, clients and discovery that behave well or badly.
 
 mod bodies;
+mod broken_responses;
 mod capacity;
 mod client_disconnect;
 mod connection_reuse;
