Write what a broken response has sent before its connection is reset

Cause: a streamed response counted as begun when its body was passed to hyper. hyper encodes the head and the first data into its buffer, polls the body again and writes only while the body is pending. If the backend's connection broke in that moment, the body failed at once: hyper dropped the connection with everything still in its buffer. The request was no longer open, so nothing else answered it. With a timeout of 53 ms each response of unknown length that begins after 8 ms is streamed at once, so this moment is usual there.

Change: a streamed response that breaks stays pending until hyper has written what it was given and the kernel has accepted it. Then it fails, and the connection is reset as before: the client has a part of the response and can tell that it is not whole, which is allowed.

--- a/src/proxy/bodies/streamed.rs
+++ b/src/proxy/bodies/streamed.rs
@@ -54,6 +54,8 @@
 pub struct StreamedResponse {
     pieces: mpsc::Receiver<Piece>,
     length: StreamLength,
+    /// Whether hyper may hold the head or data that it has not tried to write yet.
+    has_unwritten: bool,
     /// The [`RequestGuard`] of the request, which is counted as served with the last byte of the response; `None` until
     /// it is set.
     request_guard: Option<RequestGuard>,
@@ -83,6 +85,7 @@
         let streamed = Self {
             pieces,
             length: StreamLength::new(length),
+            has_unwritten: true,
             request_guard: None,
             connection: None,
         };
@@ -104,6 +107,27 @@
             guard.set_outcome(outcome);
         }
     }
+
+    /// Waits until hyper has written the head and all data that it was given to the client's socket. hyper writes while
+    /// the body is pending, and an error of the body discards what it has not written.
+    fn poll_written(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if std::mem::take(&mut self.has_unwritten) {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        match &self.connection {
+            // hyper polls the body again when it can write.
+            Some(connection) if connection.is_write_blocked() => Poll::Pending,
+            _ => Poll::Ready(()),
+        }
+    }
+
+    /// Ends a response that is not complete.
+    fn poll_break(&mut self, cx: &mut Context<'_>) -> FramePoll {
+        ready!(self.poll_written(cx));
+        self.set_outcome(RequestOutcome::Failed);
+        Poll::Ready(Some(Err(BodyError::Incomplete(None))))
+    }
 }
 
 impl Body for StreamedResponse {
@@ -111,8 +135,13 @@
     type Error = BodyError;
 
     fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> FramePoll {
-        match ready!(self.pieces.poll_recv(cx)) {
+        let Poll::Ready(piece) = self.pieces.poll_recv(cx) else {
+            self.has_unwritten = false;
+            return Poll::Pending;
+        };
+        match piece {
             Some(Piece::Data(data)) => {
+                self.has_unwritten = true;
                 self.length.forward(data.len());
                 if self.length.is_complete() {
                     self.set_outcome(RequestOutcome::Served);
@@ -123,10 +152,7 @@
                 self.set_outcome(RequestOutcome::Served);
                 Poll::Ready(None)
             }
-            Some(Piece::End) | None => {
-                self.set_outcome(RequestOutcome::Failed);
-                Poll::Ready(Some(Err(BodyError::Incomplete(None))))
-            }
+            Some(Piece::End) | None => self.poll_break(cx),
         }
     }
 
@@ -138,3 +164,6 @@
         self.length.size_hint()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/proxy/connections.rs
+++ b/src/proxy/connections.rs
@@ -194,6 +194,12 @@
         self.lingering_since.set(Some(Instant::now()));
     }
 
+    /// Returns whether hyper has bytes to write that the kernel does not accept yet.
+    #[must_use]
+    pub fn is_write_blocked(&self) -> bool {
+        self.write_blocked.get()
+    }
+
     /// Returns whether bytes have been received that hyper has not read yet. Unless bytes were read ahead, this takes a
     /// system call.
     #[must_use]
