Answer a request whose response breaks before a byte of it is sent

Callers saw: a part of a response and a reset, where nothing had been sent yet and a whole answer was still possible.

Change: ResponseSender records whether it was dropped before the response was complete. The driver does not pass such a response on, so the balancer decides by the attempt's outcome; the client's task, the last one before hyper writes, answers with 502 instead.

Each part has a unit test that needs it.

--- a/src/proxy/backends/call.rs
+++ b/src/proxy/backends/call.rs
@@ -77,6 +77,18 @@
     pub content_type: Option<HeaderValue>,
 }
 
+impl ServedResponse {
+    /// Returns whether the response has ended before it was complete, so that it cannot be served any more unless a part
+    /// of it has been sent.
+    #[must_use]
+    pub fn has_broken_off(&self) -> bool {
+        match &self.body {
+            ServedBody::Buffered(_) => false,
+            ServedBody::Streamed(streamed) => streamed.has_broken_off(),
+        }
+    }
+}
+
 /// The result of an attempt or a health check.
 #[derive(Debug)]
 pub struct AttemptResult {
--- a/src/proxy/bodies/streamed.rs
+++ b/src/proxy/bodies/streamed.rs
@@ -5,6 +5,7 @@
 use crate::proxy::counters::{RequestGuard, RequestOutcome};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
+use std::cell::Cell;
 use std::fmt;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -20,7 +21,12 @@
 }
 
 /// The sender of a streamed response, which receives the response from the backend.
-pub struct ResponseSender(mpsc::Sender<Piece>);
+pub struct ResponseSender {
+    pieces: mpsc::Sender<Piece>,
+    is_finished: bool,
+    /// Shared with the [`StreamedResponse`]: whether the sender was dropped before the response was complete.
+    has_broken_off: Rc<Cell<bool>>,
+}
 
 /// The error of a response whose client has disconnected or has read nothing for the timeout.
 #[derive(Debug, thiserror::Error)]
@@ -33,20 +39,27 @@
     /// # Errors
     /// [`ReceiverClosed`] if the client has disconnected, or does not read within `timeout`.
     pub async fn send(&self, data: Bytes, timeout: Duration) -> Result<(), ReceiverClosed> {
-        self.0
+        self.pieces
             .send_timeout(Piece::Data(data), timeout)
             .await
             .map_err(|_| ReceiverClosed)
     }
 
     /// Marks the response as complete. If the sender is dropped without this call, the response breaks off.
-    pub async fn finish(self) {
-        let _ = self.0.send(Piece::End).await;
+    pub async fn finish(mut self) {
+        let _ = self.pieces.send(Piece::End).await;
+        self.is_finished = true;
     }
 
     /// Waits until the [`StreamedResponse`] is dropped.
     pub async fn closed(&self) {
-        self.0.closed().await;
+        self.pieces.closed().await;
+    }
+}
+
+impl Drop for ResponseSender {
+    fn drop(&mut self) {
+        self.has_broken_off.set(!self.is_finished);
     }
 }
 
@@ -54,6 +67,8 @@
 pub struct StreamedResponse {
     pieces: mpsc::Receiver<Piece>,
     length: StreamLength,
+    /// Whether the sender was dropped before the response was complete.
+    has_broken_off: Rc<Cell<bool>>,
     /// Whether hyper may hold the head or data that it has not tried to write yet.
     has_unwritten: bool,
     /// The [`RequestGuard`] of the request, which is counted as served with the last byte of the response; `None` until
@@ -82,14 +97,28 @@
     #[must_use]
     pub fn channel(length: Option<u64>) -> (ResponseSender, Self) {
         let (sender, pieces) = mpsc::channel(1);
+        let has_broken_off = Rc::new(Cell::new(false));
+        let sender = ResponseSender {
+            pieces: sender,
+            is_finished: false,
+            has_broken_off: Rc::clone(&has_broken_off),
+        };
         let streamed = Self {
             pieces,
             length: StreamLength::new(length),
+            has_broken_off,
             has_unwritten: true,
             request_guard: None,
             connection: None,
         };
-        (ResponseSender(sender), streamed)
+        (sender, streamed)
+    }
+
+    /// Returns whether the response has ended before it was complete. Data that was sent before may not have been read
+    /// yet.
+    #[must_use]
+    pub fn has_broken_off(&self) -> bool {
+        self.has_broken_off.get()
     }
 
     /// Sets the [`RequestGuard`] that counts the request when the response ends.
--- a/src/proxy/bodies/streamed/tests.rs
+++ b/src/proxy/bodies/streamed/tests.rs
@@ -71,3 +71,14 @@
     let failed = poll_once(&mut response);
     assert!(matches!(failed, Poll::Ready(Some(Err(_)))));
 }
+
+#[tokio::test]
+async fn a_response_has_broken_off_if_its_sender_does_not_finish_it() {
+    let (sender, response) = StreamedResponse::channel(None);
+    assert!(!response.has_broken_off());
+    sender.finish().await;
+    assert!(!response.has_broken_off());
+    let (sender, response) = StreamedResponse::channel(None);
+    drop(sender);
+    assert!(response.has_broken_off());
+}
--- a/src/proxy/clients/respond.rs
+++ b/src/proxy/clients/respond.rs
@@ -124,11 +124,9 @@
             .wait_for_answer(inbound, connection, upload.as_ref())
             .await?;
         let (response, outcome) = match answer {
-            Some(Answer::Served(served)) => return Ok(served_response(served, guard)),
-            Some(Answer::Rejected { retry_after }) => {
-                (rejected(retry_after), RequestOutcome::Rejected)
-            }
-            Some(Answer::Failed) | None => (
+            Answer::Served(served) => return Ok(served_response(served, guard)),
+            Answer::Rejected { retry_after } => (rejected(retry_after), RequestOutcome::Rejected),
+            Answer::Failed => (
                 plain_text_response(StatusCode::BAD_GATEWAY, "failed\n"),
                 RequestOutcome::Failed,
             ),
@@ -142,8 +140,7 @@
         Ok(response.map(ResponseBody::Buffered))
     }
 
-    /// Sends a request to the driver and waits for its answer. Returns `None` if the driver drops the request without
-    /// an answer.
+    /// Sends a request to the driver and waits for its answer.
     ///
     /// # Errors
     /// [`InvalidRequest`] if the client disconnects first, or if the rest of its body turns out to be invalid.
@@ -152,7 +149,7 @@
         inbound: InboundRequest,
         connection: &ClientConnection,
         upload: Option<&PendingUpload>,
-    ) -> Result<Option<Answer>, InvalidRequest> {
+    ) -> Result<Answer, InvalidRequest> {
         let (sender, answer) = oneshot::channel();
         let guard = DisconnectGuard {
             handle: &self.handle,
@@ -171,7 +168,7 @@
             end = self.watch(connection, &presence, upload) => return Err(end),
         };
         guard.disarm();
-        Ok(answer.ok())
+        Ok(final_answer(answer.ok()))
     }
 
     /// Watches a connection with an open request, and returns the reason for which the request cannot be served any more.
@@ -248,6 +245,16 @@
     response
 }
 
+/// Returns the answer that is sent to the client. `answer` is `None` if the driver dropped the request. Nothing of a
+/// response has been sent yet, so the request fails if its response has broken off.
+fn final_answer(answer: Option<Answer>) -> Answer {
+    match answer {
+        Some(Answer::Served(served)) if served.has_broken_off() => Answer::Failed,
+        Some(answer) => answer,
+        None => Answer::Failed,
+    }
+}
+
 /// Returns the response to a request that a backend has served.
 fn served_response(served: ServedResponse, guard: RequestGuard) -> Response<ResponseBody> {
     let mut body = served.body;
@@ -288,3 +295,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/proxy/driver/attempts.rs
+++ b/src/proxy/driver/attempts.rs
@@ -164,7 +164,8 @@
     }
 
     /// Answers the client with a streamed response whose head has been received, and notifies the balancer. If the
-    /// client has disconnected or has been answered, the response is dropped, which ends the attempt.
+    /// client has disconnected or has been answered, or if the response has broken off, it is dropped. Then the end of its
+    /// attempt decides how the request goes on.
     pub(super) fn on_response_started(
         &mut self,
         now: Micros,
@@ -175,7 +176,7 @@
         let Some(open) = self.requests.get_mut(request) else {
             return;
         };
-        if !open.answer(request, Answer::Served(response)) {
+        if !open.begin_response(request, response) {
             return;
         }
         let Some(elapsed) = open.attempt_elapsed(attempt, &self.clock, now) else {
--- a/src/proxy/driver/requests.rs
+++ b/src/proxy/driver/requests.rs
@@ -2,7 +2,7 @@
 
 use super::margins::balancer_timeout;
 use crate::api::{BackendId, Micros, RequestId};
-use crate::proxy::backends::Call;
+use crate::proxy::backends::{Call, ServedResponse};
 use crate::proxy::clock::Clock;
 use crate::proxy::messages::Answer;
 use crate::proxy::request_log;
@@ -81,6 +81,12 @@
         true
     }
 
+    /// Sends a streamed response as the final answer if the client still waits for one, and the response has not broken
+    /// off before a byte of it was sent. Returns whether it was sent.
+    pub(super) fn begin_response(&mut self, request: RequestId, response: ServedResponse) -> bool {
+        !response.has_broken_off() && self.answer(request, Answer::Served(response))
+    }
+
     /// Records that the client disconnected. Returns whether the client was waiting for an answer.
     pub(super) fn disconnect(&mut self) -> bool {
         self.client.take().is_some()
--- a/src/proxy/driver/requests/tests.rs
+++ b/src/proxy/driver/requests/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::proxy::backends::RequestEnded;
-use crate::proxy::bodies::BufferedBody;
+use crate::proxy::bodies::{BufferedBody, ServedBody, StreamedResponse};
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use tokio::sync::oneshot::error::TryRecvError;
@@ -21,6 +21,13 @@
     (PendingRequest::new(call, client, 0, 1_000_000), answer)
 }
 
+fn streamed_response(body: StreamedResponse) -> ServedResponse {
+    ServedResponse {
+        body: ServedBody::Streamed(body),
+        content_type: None,
+    }
+}
+
 #[test]
 fn only_the_first_answer_of_a_request_is_sent() {
     let (mut open, mut answer) = pending_request();
@@ -32,6 +39,18 @@
     assert!(matches!(received, Answer::Rejected { retry_after: 7 }));
 }
 
+#[test]
+fn a_response_that_has_broken_off_before_it_is_sent_is_no_answer() {
+    let (mut open, mut answer) = pending_request();
+    let (sender, body) = StreamedResponse::channel(None);
+    drop(sender);
+    assert!(!open.begin_response(REQUEST, streamed_response(body)));
+    assert!(open.is_unanswered());
+    let (_sender, body) = StreamedResponse::channel(None);
+    assert!(open.begin_response(REQUEST, streamed_response(body)));
+    assert!(matches!(answer.try_recv(), Ok(Answer::Served(_))));
+}
+
 #[test]
 fn an_attempt_is_cancelled_and_ended_at_most_once() {
     let (mut open, _answer) = pending_request();
