Read what has arrived of a response before it is streamed

Callers saw: a part of a response and a reset although the break had already arrived and nothing was sent.

Cause: the time from which a response of unknown length is streamed was compared with the clock as soon as its first data was read. hyper reads the next bytes, or the break, only after it is asked for them and its task has run again, so what the kernel had was not seen.

Change: the data that the kernel has already received is read first, in two turns of the runtime. The kernel itself is not asked: a peek at a connection that was reset takes the error away, and a broken response that ends with its connection would look whole.

Evidence: the new test of an attempt (chunks, close, HTTP/1.0; paused time) fails without the change.

--- a/src/proxy/backends/exchange.rs
+++ b/src/proxy/backends/exchange.rs
@@ -6,15 +6,20 @@
 use crate::proxy::header_values::connection_options;
 use crate::proxy::memory::{MemoryBudget, MemoryUse};
 use crate::proxy::size_limits::{BUFFERED_BODY_BYTES, MAX_FORWARDED_BODY_BYTES};
+use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::TRANSFER_ENCODING;
 use hyper::{Request, Response, StatusCode, Version};
 use std::time::Duration;
+use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
 
 /// Time after the head of a 200 response of unknown length for which the body is buffered before it is streamed.
 const STREAM_AFTER: Duration = Duration::from_millis(250);
+/// The number of turns of the runtime in which a connection reads what the kernel has received: it is woken in the first
+/// one and may be run in the second one.
+const READ_TURNS: usize = 2;
 
 /// Writes a request and reads the response. A body that fits in the buffer is read completely while there is memory for
 /// it, so that a client never receives only a part of such a body.
@@ -69,7 +74,10 @@
             Ok(data) => data,
             // A body of known length that fits in the buffer is passed on only when it is complete.
             Err(_) if length.is_some() => next_data(&mut incoming).await,
-            Err(_) => break,
+            Err(_) => match received_data(&mut incoming).await {
+                Some(data) => data,
+                None => break,
+            },
         };
         match data? {
             Some(data) if has_room(memory, &buffer, data.len()) => buffer.add(data),
@@ -89,6 +97,19 @@
     }))
 }
 
+/// Returns the next data of a body, or its end, if the kernel has already received it. The connection reads it only while
+/// it is waited for.
+async fn received_data(incoming: &mut Incoming) -> Option<Result<Option<Bytes>, hyper::Error>> {
+    for _ in 0..READ_TURNS {
+        tokio::select! {
+            biased;
+            data = next_data(incoming) => return Some(data),
+            () = yield_now() => {}
+        }
+    }
+    None
+}
+
 /// Reads the body of a response other than 200 as far as it fits in the buffer, so that the connection can be used
 /// again.
 async fn read_error_body(
--- a/tests/attempts/main.rs
+++ b/tests/attempts/main.rs
@@ -2,6 +2,7 @@
 //!
 //! The tests run in paused time: the clock of tokio advances only while all tasks wait.
 
+mod broken_responses;
 mod endless_responses;
 mod paced_response;
 mod rig;
