Hold a response of unknown length back for three quarters of a short attempt

Callers saw: with a timeout of 53 ms, any response of unknown length that broke reached its client in part, and nothing could be retried.

Cause: such a response is streamed from 25 ms before the attempt's deadline on. Of the 33 ms that an attempt had, that left 8 ms.

Change: a quarter of the attempt's time, at most 25 ms as before. Nothing changes for attempts of 100 ms or more.

--- a/src/proxy/backends/deadlines.rs
+++ b/src/proxy/backends/deadlines.rs
@@ -4,9 +4,12 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until};
 
-/// Time before the deadline of a request's last attempt at which its response is streamed as far as it has arrived. A
-/// process that is held up for less still streams it.
-const LAST_STREAM_MARGIN: Duration = Duration::from_millis(25);
+/// The longest time before the deadline of a request's last attempt at which its response is streamed as far as it has
+/// arrived. A process that is held up for less still streams it.
+const MAX_STREAM_MARGIN: Duration = Duration::from_millis(25);
+/// An attempt's time is divided by this for the time before its deadline at which its response is streamed. Until then a
+/// response that breaks has sent nothing to its client.
+const STREAM_MARGIN_DIVISOR: u32 = 4;
 
 /// The deadlines of an attempt.
 #[derive(Clone, Copy, Debug)]
@@ -43,9 +46,8 @@
     /// it may be a long one, whose first bytes must be in time. Returns `None` for other attempts than the last, because
     /// another attempt may return the whole response.
     pub(super) fn stream_by(&self) -> Option<Instant> {
-        self.deadlines
-            .is_last
-            .then(|| self.due() - LAST_STREAM_MARGIN)
+        let margin = MAX_STREAM_MARGIN.min(self.remaining / STREAM_MARGIN_DIVISOR);
+        self.deadlines.is_last.then(|| self.due() - margin)
     }
 
     /// Waits until the attempt times out.
