Count responses that are cut off, and log how a streamed response ended

The incident's evidence has no state between a backend's response and the end of the client's connection. New: the metric app_cut_off_responses; the events 'response broke unsent' and 'response ended' with the request's number, its outcome and the bytes passed on, and 'client connection reset: its response is not whole'.

--- a/src/proxy/bodies/streamed.rs
+++ b/src/proxy/bodies/streamed.rs
@@ -1,8 +1,10 @@
 //! Responses that are streamed from a backend to a client.
 
 use super::stream::{BodyError, FramePoll, StreamLength};
+use crate::api::RequestId;
 use crate::proxy::connections::ClientConnection;
 use crate::proxy::counters::{RequestGuard, RequestOutcome};
+use crate::proxy::request_log;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::cell::Cell;
@@ -71,9 +73,8 @@
     has_broken_off: Rc<Cell<bool>>,
     /// Whether hyper may hold the head or data that it has not tried to write yet.
     has_unwritten: bool,
-    /// The [`RequestGuard`] of the request, which is counted as served with the last byte of the response; `None` until
-    /// it is set.
-    request_guard: Option<RequestGuard>,
+    /// The request, which is counted as served with the last byte of the response; `None` until it is set.
+    request: Option<(RequestId, RequestGuard)>,
     /// The client's connection, whose current request ends when the response is dropped; `None` until it is set.
     connection: Option<Rc<ClientConnection>>,
 }
@@ -83,6 +84,9 @@
         if let Some(connection) = &self.connection {
             connection.end_request();
         }
+        if let Some((id, guard)) = &self.request {
+            request_log::response_ended(*id, guard.outcome(), self.length.forwarded());
+        }
     }
 }
 
@@ -108,7 +112,7 @@
             length: StreamLength::new(length),
             has_broken_off,
             has_unwritten: true,
-            request_guard: None,
+            request: None,
             connection: None,
         };
         (sender, streamed)
@@ -121,9 +125,9 @@
         self.has_broken_off.get()
     }
 
-    /// Sets the [`RequestGuard`] that counts the request when the response ends.
-    pub fn set_request_guard(&mut self, guard: RequestGuard) {
-        self.request_guard = Some(guard);
+    /// Sets the request that the response belongs to, and the guard that counts it when the response ends.
+    pub fn set_request(&mut self, id: RequestId, guard: RequestGuard) {
+        self.request = Some((id, guard));
     }
 
     /// Sets the client's connection on which the response is sent.
@@ -131,9 +135,9 @@
         self.connection = Some(connection);
     }
 
-    fn set_outcome(&self, outcome: RequestOutcome) {
-        if let Some(guard) = &self.request_guard {
-            guard.set_outcome(outcome);
+    fn set_served(&self) {
+        if let Some((_, guard)) = &self.request {
+            guard.set_outcome(RequestOutcome::Served);
         }
     }
 
@@ -154,7 +158,9 @@
     /// Ends a response that is not complete.
     fn poll_break(&mut self, cx: &mut Context<'_>) -> FramePoll {
         ready!(self.poll_written(cx));
-        self.set_outcome(RequestOutcome::Failed);
+        if let Some((_, guard)) = &self.request {
+            guard.set_cut_off();
+        }
         Poll::Ready(Some(Err(BodyError::Incomplete(None))))
     }
 }
@@ -173,12 +179,12 @@
                 self.has_unwritten = true;
                 self.length.forward(data.len());
                 if self.length.is_complete() {
-                    self.set_outcome(RequestOutcome::Served);
+                    self.set_served();
                 }
                 Poll::Ready(Some(Ok(Frame::data(data))))
             }
             Some(Piece::End) if self.length.remaining().is_none_or(|bytes| bytes == 0) => {
-                self.set_outcome(RequestOutcome::Served);
+                self.set_served();
                 Poll::Ready(None)
             }
             Some(Piece::End) | None => self.poll_break(cx),
--- a/src/proxy/clients/respond.rs
+++ b/src/proxy/clients/respond.rs
@@ -120,11 +120,12 @@
         inbound.call.executions = Some(claimed_id.executions());
         let upload = inbound.call.body.pending_upload();
         let guard = self.counters.begin_request(inbound.request.class);
+        let request = inbound.request.id;
         let answer = self
             .wait_for_answer(inbound, connection, upload.as_ref())
             .await?;
         let (response, outcome) = match answer {
-            Answer::Served(served) => return Ok(served_response(served, guard)),
+            Answer::Served(served) => return Ok(served_response(request, served, guard)),
             Answer::Rejected { retry_after } => (rejected(retry_after), RequestOutcome::Rejected),
             Answer::Failed => (
                 plain_text_response(StatusCode::BAD_GATEWAY, "failed\n"),
@@ -256,11 +257,15 @@
 }
 
 /// Returns the response to a request that a backend has served.
-fn served_response(served: ServedResponse, guard: RequestGuard) -> Response<ResponseBody> {
+fn served_response(
+    request: RequestId,
+    served: ServedResponse,
+    guard: RequestGuard,
+) -> Response<ResponseBody> {
     let mut body = served.body;
     match &mut body {
         ServedBody::Buffered(_) => guard.set_outcome(RequestOutcome::Served),
-        ServedBody::Streamed(streamed) => streamed.set_request_guard(guard),
+        ServedBody::Streamed(streamed) => streamed.set_request(request, guard),
     }
     let mut response = Response::new(ResponseBody::from(body));
     if let Some(content_type) = served.content_type {
--- a/src/proxy/clients/serve.rs
+++ b/src/proxy/clients/serve.rs
@@ -49,7 +49,10 @@
             ConnectionEnd::Closed => {}
             ConnectionEnd::Finished => self.linger(connection).await,
             // After an ordinary close, an incomplete response of unknown length would seem complete to the client.
-            ConnectionEnd::ResponseFailed => connection.socket().reset_on_close(),
+            ConnectionEnd::ResponseFailed => {
+                tracing::debug!("client connection reset: its response is not whole");
+                connection.socket().reset_on_close();
+            }
         }
     }
 
--- a/src/proxy/counters.rs
+++ b/src/proxy/counters.rs
@@ -31,6 +31,7 @@
     classes: Vec<ClassCounters>,
     attempts: Cell<u64>,
     in_progress: Cell<u64>,
+    cut_off_responses: Cell<u64>,
 }
 
 impl Counters {
@@ -48,6 +49,7 @@
             classes,
             attempts: Cell::new(0),
             in_progress: Cell::new(0),
+            cut_off_responses: Cell::new(0),
         })
     }
 
@@ -88,6 +90,7 @@
         let in_progress = self.in_progress.get();
         ATTEMPTS.write(text, attempts)?;
         IN_PROGRESS.write(text, in_progress)?;
+        CUT_OFF_RESPONSES.write(text, self.cut_off_responses.get())?;
         LISTED_BACKENDS.write(text, listed_backends as u64)?;
         AVOIDED_BACKENDS.write(text, avoided_backends as u64)
     }
@@ -132,6 +135,11 @@
     kind: "gauge",
     help: "Requests taken and not ended.",
 };
+const CUT_OFF_RESPONSES: Metric = Metric {
+    name: "cut_off_responses",
+    kind: "counter",
+    help: "Responses of which a part was sent and that ended before they were whole.",
+};
 const LISTED_BACKENDS: Metric = Metric {
     name: "known_backends",
     kind: "gauge",
@@ -181,6 +189,18 @@
     pub fn set_outcome(&self, outcome: RequestOutcome) {
         self.outcome.set(Some(outcome));
     }
+
+    /// Returns the outcome that was last set; `None` if the client has disconnected or the request has not ended.
+    #[must_use]
+    pub fn outcome(&self) -> Option<RequestOutcome> {
+        self.outcome.get()
+    }
+
+    /// Sets the outcome of a request whose response ends before it is complete, after a part of it was sent.
+    pub fn set_cut_off(&self) {
+        increment(&self.counters.cut_off_responses);
+        self.set_outcome(RequestOutcome::Failed);
+    }
 }
 
 impl Drop for RequestGuard {
--- a/src/proxy/counters/tests.rs
+++ b/src/proxy/counters/tests.rs
@@ -23,6 +23,7 @@
             r#"app_handled{category="odd\"\\name",outcome="bad_gateway"} 0"#,
             "app_upstream_tries 0",
             "app_in_progress 0",
+            "app_cut_off_responses 0",
             "app_known_backends 4",
             "app_skipped_backends 1",
         ]
@@ -32,6 +33,7 @@
         "handled",
         "upstream_tries",
         "in_progress",
+        "cut_off_responses",
         "known_backends",
         "skipped_backends",
     ] {
--- a/src/proxy/driver/attempts.rs
+++ b/src/proxy/driver/attempts.rs
@@ -176,7 +176,7 @@
         let Some(open) = self.requests.get_mut(request) else {
             return;
         };
-        if !open.begin_response(request, response) {
+        if !open.begin_response(request, attempt, response) {
             return;
         }
         let Some(elapsed) = open.attempt_elapsed(attempt, &self.clock, now) else {
--- a/src/proxy/driver/requests.rs
+++ b/src/proxy/driver/requests.rs
@@ -83,8 +83,17 @@
 
     /// Sends a streamed response as the final answer if the client still waits for one, and the response has not broken
     /// off before a byte of it was sent. Returns whether it was sent.
-    pub(super) fn begin_response(&mut self, request: RequestId, response: ServedResponse) -> bool {
-        !response.has_broken_off() && self.answer(request, Answer::Served(response))
+    pub(super) fn begin_response(
+        &mut self,
+        request: RequestId,
+        attempt: u16,
+        response: ServedResponse,
+    ) -> bool {
+        if response.has_broken_off() {
+            request_log::response_unsent(request, attempt);
+            return false;
+        }
+        self.answer(request, Answer::Served(response))
     }
 
     /// Records that the client disconnected. Returns whether the client was waiting for an answer.
--- a/src/proxy/driver/requests/tests.rs
+++ b/src/proxy/driver/requests/tests.rs
@@ -44,10 +44,10 @@
     let (mut open, mut answer) = pending_request();
     let (sender, body) = StreamedResponse::channel(None);
     drop(sender);
-    assert!(!open.begin_response(REQUEST, streamed_response(body)));
+    assert!(!open.begin_response(REQUEST, 0, streamed_response(body)));
     assert!(open.is_unanswered());
     let (_sender, body) = StreamedResponse::channel(None);
-    assert!(open.begin_response(REQUEST, streamed_response(body)));
+    assert!(open.begin_response(REQUEST, 0, streamed_response(body)));
     assert!(matches!(answer.try_recv(), Ok(Answer::Served(_))));
 }
 
--- a/src/proxy/request_log.rs
+++ b/src/proxy/request_log.rs
@@ -4,6 +4,7 @@
 //! correlation id.
 
 use super::backends::AttemptResult;
+use super::counters::RequestOutcome;
 use super::logging::REQUEST_TARGET;
 use super::messages::{Answer, InboundRequest};
 use crate::api::{BackendId, Micros, RequestId};
@@ -63,6 +64,18 @@
     );
 }
 
+/// Logs that a response that had begun to be passed on broke before a byte of it was sent. The end of its attempt decides
+/// how the request goes on.
+pub(super) fn response_unsent(request: RequestId, attempt: u16) {
+    debug!(target: REQUEST_TARGET, request = request.0, attempt, "response broke unsent");
+}
+
+/// Logs the end of a streamed response, of which `bytes` bytes were passed on. `outcome` is `None` if the client
+/// disconnected.
+pub(super) fn response_ended(request: RequestId, outcome: Option<RequestOutcome>, bytes: u64) {
+    debug!(target: REQUEST_TARGET, request = request.0, ?outcome, bytes, "response ended");
+}
+
 /// Logs the final answer to a request.
 pub(super) fn answered(request: RequestId, answer: &Answer) {
     let answer = match answer {
--- a/tests/proxy/response_ends.rs
+++ b/tests/proxy/response_ends.rs
@@ -106,6 +106,7 @@
         );
         let failed = "app_handled{category=\"submit\",outcome=\"bad_gateway\"}";
         while proxy.metric(failed) < 2 {}
+        assert_eq!(proxy.metric("app_cut_off_responses"), 2, "{name}");
     }
 }
 
