--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -19,5 +19,6 @@
 mod shutdown;
 mod slow_readers;
 mod slow_responses;
+mod soak;
 mod startup;
 mod stuck_uploads;
--- a/tests/proxy/rig/mod.rs
+++ b/tests/proxy/rig/mod.rs
@@ -8,6 +8,7 @@
 mod full_backlog;
 mod message;
 mod process;
+mod received;
 mod saturated_backend;
 mod socket_buffers;
 
@@ -22,6 +23,7 @@
 pub use process::{
     Proxy, proxy_command, spawn_process, start_with_listener, start_with_little_memory,
 };
+pub use received::Received;
 pub use saturated_backend::{INITIAL_LIMIT, backend_that_holds_initial_limit, saturate};
 pub use socket_buffers::SocketBuffers;
 use std::net::{SocketAddr, TcpListener, ToSocketAddrs};
--- a/tests/proxy/rig/process.rs
+++ b/tests/proxy/rig/process.rs
@@ -11,7 +11,8 @@
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
-use std::{env, fs};
+use std::thread::JoinHandle;
+use std::{env, fs, thread};
 
 /// A running process of the program.
 pub struct Proxy {
@@ -20,7 +21,8 @@
     /// The address for operator calls, if the configuration names one.
     pub operator: Option<SocketAddr>,
     name: String,
-    log: BufReader<ChildStderr>,
+    /// What the process logs; `None` while it is collected.
+    log: Option<BufReader<ChildStderr>>,
 }
 
 /// Returns the path of the configuration file of a proxy of this test process.
@@ -119,14 +121,14 @@
             address: unknown,
             operator: None,
             name: name.into(),
-            log,
+            log: Some(log),
         };
         let mut line = String::new();
         while proxy.address == unknown {
             line.clear();
             assert_ne!(
                 proxy
-                    .log
+                    .log()
                     .read_line(&mut line)
                     .expect("the log is readable text"),
                 0,
@@ -138,6 +140,21 @@
         proxy
     }
 
+    fn log(&mut self) -> &mut BufReader<ChildStderr> {
+        self.log.as_mut().expect("the log is not collected")
+    }
+
+    /// Reads the rest of the log while the process runs, so that a long log does not block it.
+    pub fn collect_log(&mut self) -> JoinHandle<String> {
+        let mut log = self.log.take().expect("the log is not collected");
+        thread::spawn(move || {
+            let mut text = String::new();
+            log.read_to_string(&mut text)
+                .expect("the log is readable text");
+            text
+        })
+    }
+
     /// Opens a connection as a client.
     pub fn client(&self) -> Client {
         Client::connect(self.address)
@@ -234,7 +251,7 @@
         while !line.contains(words) {
             line.clear();
             assert_ne!(
-                self.log
+                self.log()
                     .read_line(&mut line)
                     .expect("the log is readable text"),
                 0,
@@ -246,7 +263,7 @@
     /// Waits for the end of the process and returns the log lines that were not read yet.
     pub fn rest_of_log(&mut self) -> String {
         let mut text = String::new();
-        self.log
+        self.log()
             .read_to_string(&mut text)
             .expect("the log is readable text");
         text
