Share the ids of executed requests between the processes of an upgrade

Cause: each process remembered only the ids that it had sent to a backend itself.

Change: the processes that accept from one inherited socket record the hashes of these ids in a file of 256 KiB in their temporary directory, for 30 s. They are looked up when a request is taken, recorded when its attempt begins and removed when it cannot have run, like those in memory. One read and one write of 80 bytes an attempt, with an inherited socket only. Rejected alternative: a file for each process, which would have to outlive its process and be read four times for each request.

Left: an id that is open at one process without an attempt yet is not known to the other.

--- a/src/bin/tillerproxy.rs
+++ b/src/bin/tillerproxy.rs
@@ -14,9 +14,10 @@
 use tillerproxy::balancer::Balancer;
 use tillerproxy::proxy::backends::BackendClient;
 use tillerproxy::proxy::budget::{Budget, SharedLimits, Sharing};
-use tillerproxy::proxy::clients::Clients;
+use tillerproxy::proxy::clients::{Clients, SharedParts};
 use tillerproxy::proxy::clock::Clock;
 use tillerproxy::proxy::config::Config;
+use tillerproxy::proxy::correlation_ids::CorrelationIds;
 use tillerproxy::proxy::counters::Counters;
 use tillerproxy::proxy::discovery::{Polling, Translator, Watcher};
 use tillerproxy::proxy::driver::{Driver, DriverSettings};
@@ -100,6 +101,22 @@
     }
 }
 
+/// Returns the ids that no request may have. With an inherited client listener they are those of all processes that accept
+/// from it.
+fn correlation_ids(listeners: &Listeners) -> Rc<CorrelationIds> {
+    if !listeners.is_shared {
+        return CorrelationIds::new();
+    }
+    let opened = listeners
+        .clients
+        .local_addr()
+        .and_then(|clients| CorrelationIds::open_shared(&env::temp_dir(), clients));
+    opened.unwrap_or_else(|error| {
+        tracing::warn!(%error, "cannot learn which requests other processes have run");
+        CorrelationIds::new()
+    })
+}
+
 /// Creates the budget of the process, and keeps it up to date while others may share it.
 fn budget(limits: SharedLimits, sharing: Sharing) -> Rc<Budget> {
     Budget::new(limits, sharing, || HEAP.allocated())
@@ -173,7 +190,11 @@
 }
 
 impl Proxy {
-    fn new(config: &Config, budget: Rc<Budget>) -> Result<Self, SettingsError> {
+    fn new(
+        config: &Config,
+        budget: Rc<Budget>,
+        correlation_ids: Rc<CorrelationIds>,
+    ) -> Result<Self, SettingsError> {
         let settings = &config.settings;
         let clock = Clock::start();
         let lifecycle = Lifecycle::start();
@@ -214,9 +235,12 @@
             clock,
             settings,
             &config.names,
-            Rc::clone(&lifecycle),
-            counters,
-            budget,
+            SharedParts {
+                lifecycle: Rc::clone(&lifecycle),
+                counters,
+                budget,
+                correlation_ids,
+            },
         );
         Ok(Self {
             driver,
@@ -263,7 +287,7 @@
         reload,
     } = signals;
     let budget = budget(config.limits, sharing(&listeners));
-    let proxy = Proxy::new(&config, Rc::clone(&budget))?;
+    let proxy = Proxy::new(&config, Rc::clone(&budget), correlation_ids(&listeners))?;
     if budget.is_shared() {
         spawn_local(follow_usage_of_others(
             budget,
--- a/src/proxy/clients/mod.rs
+++ b/src/proxy/clients/mod.rs
@@ -68,6 +68,18 @@
     }
 }
 
+/// What client connections share with the other parts of the process.
+pub struct SharedParts {
+    /// The lifecycle of the process.
+    pub lifecycle: Rc<Lifecycle>,
+    /// The metrics.
+    pub counters: Rc<Counters>,
+    /// The budget of descriptors and memory.
+    pub budget: Rc<Budget>,
+    /// The correlation ids that no further request may have.
+    pub correlation_ids: Rc<CorrelationIds>,
+}
+
 /// The state that all client connections share.
 pub struct Clients {
     handle: DriverHandle,
@@ -99,9 +111,7 @@
         clock: Clock,
         settings: &Settings,
         names: &Names,
-        lifecycle: Rc<Lifecycle>,
-        counters: Rc<Counters>,
-        budget: Rc<Budget>,
+        shared: SharedParts,
     ) -> Rc<Self> {
         let mut classes = FxHashMap::default();
         for (index, (name, class)) in (0..=u8::MAX).zip(names.classes.iter().zip(&settings.classes))
@@ -117,14 +127,14 @@
             clock,
             classes,
             tenants,
-            lifecycle,
-            counters,
-            budget,
+            lifecycle: shared.lifecycle,
+            counters: shared.counters,
+            budget: shared.budget,
             connection_freed: Notify::new(),
             is_full: Cell::new(false),
             connections: RefCell::default(),
             last_accepted_at: Cell::new(Instant::now()),
-            correlation_ids: CorrelationIds::new(),
+            correlation_ids: shared.correlation_ids,
         })
     }
 
--- a/src/proxy/correlation_ids.rs
+++ b/src/proxy/correlation_ids.rs
@@ -3,10 +3,14 @@
 //! Clients give each request an id of its own. A request with an id that is still open, or that a backend may have executed,
 //! could run a second time (rule 2, idempotency).
 
+use super::shared_ids::SharedIds;
 use hyper::header::HeaderValue;
 use rustc_hash::{FxHashSet, FxHasher};
 use std::cell::RefCell;
 use std::hash::{Hash, Hasher};
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -57,18 +61,38 @@
 pub struct CorrelationIds {
     open: RefCell<FxHashSet<HeaderValue>>,
     executed: RefCell<RecentIds>,
-    /// Makes the hashes of this process differ from those of others, so that clients cannot choose ids that collide.
+    /// The executed ids of all processes that accept the same clients; `None` if there are no others.
+    shared: Option<SharedIds>,
+    /// Makes the hashes differ from those of other proxies, so that clients cannot choose ids that collide.
     hash_seed: u64,
 }
 
 impl CorrelationIds {
-    /// Creates the table without ids.
+    /// Creates the table of a process that shares its clients with no other.
     #[must_use]
     pub fn new() -> Rc<Self> {
+        Self::with_shared(None)
+    }
+
+    /// Creates the table of a process that may share the clients of this address with others, which have the same
+    /// temporary directory.
+    ///
+    /// # Errors
+    /// The same as those of [`SharedIds::open`].
+    pub fn open_shared(directory: &Path, clients: SocketAddr) -> io::Result<Rc<Self>> {
+        let shared = SharedIds::open(directory, clients, MIN_REMEMBERED_TIME)?;
+        Ok(Self::with_shared(Some(shared)))
+    }
+
+    fn with_shared(shared: Option<SharedIds>) -> Rc<Self> {
+        let hash_seed = shared
+            .as_ref()
+            .map_or_else(|| fastrand::u64(..), SharedIds::seed);
         Rc::new(Self {
             open: RefCell::default(),
             executed: RefCell::new(RecentIds::new()),
-            hash_seed: fastrand::u64(..),
+            shared,
+            hash_seed,
         })
     }
 
@@ -76,7 +100,7 @@
     /// may execute or have executed a request with it.
     #[must_use]
     pub fn claim(self: &Rc<Self>, id: &HeaderValue) -> Option<ClaimedId> {
-        if self.executed.borrow().contains(self.hash(id)) {
+        if self.may_have_run(self.hash(id)) {
             return None;
         }
         let is_new = self.open.borrow_mut().insert(id.clone());
@@ -86,6 +110,11 @@
         })
     }
 
+    fn may_have_run(&self, hash: u64) -> bool {
+        let is_shared = |shared: &SharedIds| shared.contains(hash);
+        self.executed.borrow().contains(hash) || self.shared.as_ref().is_some_and(is_shared)
+    }
+
     fn hash(&self, id: &HeaderValue) -> u64 {
         let mut hasher = FxHasher::default();
         self.hash_seed.hash(&mut hasher);
@@ -130,11 +159,17 @@
     /// Records that an attempt begins, so that no other request with the same id is taken.
     pub fn begin_attempt(&self) {
         self.ids.executed.borrow_mut().insert(self.hash);
+        if let Some(shared) = &self.ids.shared {
+            shared.insert(self.hash);
+        }
     }
 
     /// Records that another request with the same id may run, because no backend has executed this one or it is idempotent.
     pub fn forget(&self) {
         self.ids.executed.borrow_mut().remove(self.hash);
+        if let Some(shared) = &self.ids.shared {
+            shared.remove(self.hash);
+        }
     }
 }
 
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -34,6 +34,7 @@
 pub mod read_ahead;
 mod request_log;
 mod responses;
+pub mod shared_ids;
 pub mod shutdown;
 pub mod size_limits;
 pub mod socket;
