Send what the kernel holds for a client before its connection is reset

A response counts as sent when hyper has written it to the socket; the kernel may hold up to 64 KiB of it. The reset after a broken response discards them.

Change: the reset waits until the kernel reports that it has sent all bytes, for at most 2 s, as long as a connection lingers otherwise. Rejected alternative: a close without a reset where the framing shows the break; it would not need the wait, but how the other side judges it could not be measured.

--- a/src/proxy/clients/serve.rs
+++ b/src/proxy/clients/serve.rs
@@ -27,8 +27,10 @@
     Closed,
     /// hyper has ended the exchange: the client has closed the connection, or the last response closes it.
     Finished,
-    /// A response ended before it was complete, because its backend failed or its client reads nothing.
+    /// A response ended before it was complete, because its backend failed.
     ResponseFailed,
+    /// The client reads nothing of its response.
+    ClientStalled,
 }
 
 impl From<hyper::Result<()>> for ConnectionEnd {
@@ -47,20 +49,25 @@
     pub(super) async fn serve(self: &Rc<Self>, connection: &Rc<ClientConnection>) {
         match self.serve_requests(connection).await {
             ConnectionEnd::Closed => {}
-            ConnectionEnd::Finished => self.linger(connection).await,
-            // After an ordinary close, an incomplete response of unknown length would seem complete to the client.
+            ConnectionEnd::Finished => {
+                let closed = connection.socket().linger();
+                self.linger(connection, closed).await;
+            }
+            // The kernel may still hold an earlier response to pipelined requests.
             ConnectionEnd::ResponseFailed => {
-                tracing::debug!("client connection reset: its response is not whole");
-                connection.socket().reset_on_close();
+                let sent = connection.socket().all_sent();
+                self.linger(connection, sent).await;
+                reset(connection);
             }
+            ConnectionEnd::ClientStalled => reset(connection),
         }
     }
 
-    /// Reads until the client closes the connection, or until the connection is evicted.
-    async fn linger(&self, connection: &ClientConnection) {
+    /// Waits for the end of `linger`, or until the connection is evicted.
+    async fn linger(&self, connection: &ClientConnection, linger: impl Future<Output = ()>) {
         connection.begin_linger();
         self.notify_if_full();
-        let mut linger = pin!(connection.socket().linger());
+        let mut linger = pin!(linger);
         loop {
             tokio::select! {
                 biased;
@@ -104,7 +111,7 @@
                 }
                 () = check_timer.as_mut() => match deadline_check.run() {
                     DeadlineState::Passed if connection.has_response_in_progress() => {
-                        return ConnectionEnd::ResponseFailed;
+                        return ConnectionEnd::ClientStalled;
                     }
                     DeadlineState::Passed => return ConnectionEnd::Closed,
                     DeadlineState::CheckAgainAt(at) => check_timer.as_mut().reset(at),
@@ -139,6 +146,13 @@
     }
 }
 
+/// Resets a connection. After an ordinary close, an incomplete response of unknown length would seem complete to the
+/// client.
+fn reset(connection: &ClientConnection) {
+    tracing::debug!("client connection reset: its response is not whole");
+    connection.socket().reset_on_close();
+}
+
 /// Responds to the requests of one connection.
 struct RequestService {
     clients: Rc<Clients>,
--- a/src/proxy/socket.rs
+++ b/src/proxy/socket.rs
@@ -1,5 +1,6 @@
 //! The socket of a connection. hyper reads and writes it, and the connection itself also reads and closes it.
 
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -8,13 +9,15 @@
 use std::time::Duration;
 use tokio::io::{Interest, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Time without received bytes after which a connection that is being closed is no longer read. If it were not read at
 /// all, the kernel would answer late bytes with a reset, which destroys a response that the peer has not read yet.
 const LINGER_QUIET_TIME: Duration = Duration::from_millis(500);
 /// The longest time for which a connection that is being closed is read.
 const MAX_LINGER_TIME: Duration = Duration::from_secs(2);
+/// Interval at which the kernel is asked whether it has sent all bytes.
+const SENT_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// The number of bytes that the kernel holds for a peer that does not take them yet. A kernel that buffers megabytes
 /// reports only after many seconds that a slow peer has taken some, and sends them even after their sender has given up.
 const MAX_UNSENT_BYTES: u32 = 64 * 1024;
@@ -92,6 +95,32 @@
         socket2::SockRef::from(&*self.0).shutdown(Shutdown::Write)
     }
 
+    /// Waits until the kernel has sent all bytes that were written, for at most `MAX_LINGER_TIME`. A reset would discard
+    /// the others.
+    pub async fn all_sent(&self) {
+        // The kernel reports the socket as writable only below this number of unsent bytes.
+        if socket2::SockRef::from(&*self.0)
+            .set_tcp_notsent_lowat(1)
+            .is_err()
+        {
+            return;
+        }
+        let _ = timeout(MAX_LINGER_TIME, async {
+            while self.has_unsent() {
+                sleep(SENT_CHECK_INTERVAL).await;
+            }
+        })
+        .await;
+    }
+
+    /// Returns whether the kernel reports the socket as not writable. This takes a system call, because the runtime is
+    /// notified of changes only.
+    fn has_unsent(&self) -> bool {
+        let mut sockets = [PollFd::new(&*self.0, PollFlags::OUT)];
+        let no_wait = Timespec::default();
+        matches!(poll(&mut sockets, Some(&no_wait)), Ok(0))
+    }
+
     /// Makes the close of the socket send a reset, so that the peer sees the connection break.
     pub fn reset_on_close(&self) {
         let _ = socket2::SockRef::from(&*self.0).set_linger(Some(Duration::ZERO));
--- a/tests/proxy/response_ends.rs
+++ b/tests/proxy/response_ends.rs
@@ -196,6 +196,32 @@
     }
 }
 
+/// Guards against a whole response that is lost because the next one on its connection breaks: the reset discarded what the
+/// kernel still held for a client that reads slowly.
+#[test]
+fn a_whole_response_is_not_lost_if_the_next_one_on_its_connection_breaks() {
+    const WHOLE_BYTES: usize = 100_000;
+    // The second response is streamed after 250 ms.
+    const BREAKS_AFTER: Duration = Duration::from_millis(400);
+    let discovery = Discovery::start();
+    let backend = Backend::start(|received| match received.header("x-correlation-id") {
+        Some("whole") => Reply::Write(response("200 OK", "", &patterned_body(WHOLE_BYTES))),
+        _ => Reply::Paced {
+            head: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec(),
+            piece: b"4\r\nbody\r\n".to_vec(),
+            pause: BREAKS_AFTER,
+            pieces: 1,
+            end: Vec::new(),
+        },
+    });
+    let proxy = Proxy::start_with_backend("next-breaks", &discovery, backend.address);
+    let mut client = Client::connect_with_receive_buffer(proxy.address, 32 << 10);
+    client.send(&(request("charge", "whole", "") + &request("charge", "broken", "")));
+    thread::sleep(2 * BREAKS_AFTER);
+    assert_eq!(client.receive().body, patterned_body(WHOLE_BYTES));
+    assert!(matches!(Received::read(&mut client.reader), Received::Part));
+}
+
 #[test]
 fn a_request_without_a_response_times_out() {
     let discovery = Discovery::start();
--- a/tests/proxy/rig/client.rs
+++ b/tests/proxy/rig/client.rs
@@ -2,6 +2,7 @@
 
 use super::TEST_TIMEOUT;
 use super::message::{Message, read_message};
+use socket2::{Domain, Socket, Type};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
@@ -17,7 +18,21 @@
 impl Client {
     /// Connects to this address. A read that takes longer than `TEST_TIMEOUT` fails.
     pub fn connect(address: SocketAddr) -> Self {
-        let stream = TcpStream::connect(address).expect("the proxy listens");
+        Self::new(TcpStream::connect(address).expect("the proxy listens"))
+    }
+
+    /// Connects to this address. The kernel receives this many bytes before the client reads them.
+    pub fn connect_with_receive_buffer(address: SocketAddr, bytes: usize) -> Self {
+        let socket =
+            Socket::new(Domain::IPV4, Type::STREAM, None).expect("the test has a free descriptor");
+        socket
+            .set_recv_buffer_size(bytes)
+            .expect("the kernel allows small buffers");
+        socket.connect(&address.into()).expect("the proxy listens");
+        Self::new(socket.into())
+    }
+
+    fn new(stream: TcpStream) -> Self {
         stream
             .set_read_timeout(Some(TEST_TIMEOUT))
             .expect("the timeout is not zero");
