Answer all requests that were sent at once before a shutdown closes their connection

The first response after SIGTERM counted as the last one of its connection, although further requests had been received.

Change: during a shutdown a response closes its connection only if nothing after its request has been received, or from the time on at which idle connections are closed. A drain by an operator closes connections as before: a client that never stops sending would keep its own open.

Evidence: the new test fails without the change (the first of five responses says close) and passes three times with it; nothing changes for clients that send one request at a time.

--- a/src/proxy/clients/respond.rs
+++ b/src/proxy/clients/respond.rs
@@ -53,7 +53,11 @@
                 .await
                 .unwrap_or_else(error_response)
         };
-        if self.lifecycle.is_draining() {
+        let has_further_request = || connection.has_further_request(number);
+        if self
+            .lifecycle
+            .response_closes_connection(has_further_request)
+        {
             mark_connection_close(&mut response);
         }
         response
--- a/src/proxy/connections.rs
+++ b/src/proxy/connections.rs
@@ -207,6 +207,14 @@
         !self.read_ahead.borrow().is_empty() || self.socket.unread() == Unread::Bytes
     }
 
+    /// Returns whether bytes after request `number` have been received, which may be further requests. Unless they were
+    /// read, this takes a system call.
+    #[must_use]
+    pub fn has_further_request(&self, number: u64) -> bool {
+        let framing = self.framing.borrow();
+        framing.heads() > number || framing.is_in_head() || self.has_unread()
+    }
+
     /// Returns whether the connection has ended and all bytes before its end have been read. This takes a system call.
     #[must_use]
     pub fn has_ended(&self) -> bool {
--- a/src/proxy/lifecycle.rs
+++ b/src/proxy/lifecycle.rs
@@ -167,6 +167,16 @@
         }
     }
 
+    /// Returns whether a response must close its connection. During a shutdown, one with further requests stays open for
+    /// them, but no longer than an idle connection may.
+    #[must_use]
+    pub fn response_closes_connection(&self, has_further_request: impl FnOnce() -> bool) -> bool {
+        let Some(times) = self.shutdown.get() else {
+            return self.is_draining();
+        };
+        Instant::now() >= times.last_answer_at - IDLE_CLOSE_MARGIN || !has_further_request()
+    }
+
     /// Changes the stage, and notifies the subscribers if it differs from the current one.
     fn enter(&self, next: Stage) {
         self.stage.send_if_modified(|stage| {
--- a/tests/proxy/shutdown.rs
+++ b/tests/proxy/shutdown.rs
@@ -346,3 +346,29 @@
         assert_eq!(proxy.wait().code(), Some(0));
     }
 }
+
+/// Guards against requests that are sent at once and lost, because the first response after SIGTERM closed their
+/// connection.
+#[test]
+fn requests_that_were_sent_at_once_are_all_answered_after_sigterm() {
+    const WORK: Duration = Duration::from_millis(100);
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| Reply::Later(WORK, Box::new(ok("there"))));
+    let mut proxy = Proxy::start_with_backend("sent-at-once", &discovery, backend.address);
+    let mut client = proxy.client();
+    let requests: String = (0..5)
+        .map(|number| request("charge", &number.to_string(), "x"))
+        .collect();
+    client.send(&requests);
+    backend.next_request();
+    proxy.terminate();
+    for number in 0..5 {
+        let got = client.receive();
+        assert_eq!(got.body, b"there", "request {number}");
+        let closes = got.header("connection") == Some("close");
+        assert_eq!(closes, number == 4, "request {number}");
+    }
+    assert!(client.ends_cleanly());
+    drop(client);
+    assert_eq!(proxy.wait().code(), Some(0));
+}
