--- a/src/proxy/clients/mod.rs
+++ b/src/proxy/clients/mod.rs
@@ -68,7 +68,7 @@
     }
 }
 
-/// What client connections share with the other parts of the process.
+/// Parts of the process that client connections share with the rest of it.
 pub struct SharedParts {
     /// The lifecycle of the process.
     pub lifecycle: Rc<Lifecycle>,
