Reject a body that is not read for lack of memory instead of calling its client late

Callers saw: slow uploads at 64 kB/s got 408 although their clients sent in time.

While a body is buffered, a wait without data counted against its client, although the process read nothing for lack of memory and the kernel had more of the body. slow_uploads_within_a_third_of_the_descriptors_leave_connections_for_other_clients failed so once in eight whole runs (four 408 of 70); traced in trials at 24 MB: 'unread true', the heap at its limit, 2.5 s after the accept.

Change: if the kernel has unread bytes, the answer is 503. Nothing of the request was forwarded, so a retry is harmless. Waiting on is no alternative: the uploads that hold the memory wait for memory too.

--- a/src/proxy/clients/error.rs
+++ b/src/proxy/clients/error.rs
@@ -34,6 +34,9 @@
     BodyTooLarge,
     #[error("the body is late")]
     BodyTimedOut,
+    /// The client has sent more of the body, but there was no memory to read it.
+    #[error("no memory for the body")]
+    BodyUnread,
     #[error("the body is broken")]
     BodyIncomplete(#[from] hyper::Error),
     #[error("a request of this id is open or may have run")]
@@ -49,6 +52,7 @@
             Self::MethodNotAllowed { .. } => StatusCode::METHOD_NOT_ALLOWED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimedOut => StatusCode::REQUEST_TIMEOUT,
+            Self::BodyUnread => StatusCode::SERVICE_UNAVAILABLE,
             Self::DuplicateRequest => StatusCode::CONFLICT,
             Self::AmbiguousBody
             | Self::DuplicateHeader
--- a/src/proxy/clients/inbound.rs
+++ b/src/proxy/clients/inbound.rs
@@ -12,6 +12,7 @@
     BodyBuffer, CallBody, NumberedRequest, Upload, WaitAllowance, next_data,
 };
 use crate::proxy::clock::MICROS_PER_MILLI;
+use crate::proxy::connections::ClientConnection;
 use crate::proxy::header_values::{REMAINING_TIME_MS, parse_decimal};
 use crate::proxy::memory::MemoryUse;
 use crate::proxy::messages::InboundRequest;
@@ -88,7 +89,7 @@
         while may_fit && buffer.len() <= MAX_BUFFERED_BYTES {
             let received = timeout_at(allowance.begin_wait(), next_data(&mut body))
                 .await
-                .map_err(|_| InvalidRequest::BodyTimedOut)?;
+                .map_err(|_| late_body(&request.connection))?;
             let Some(data) = received? else {
                 return Ok(CallBody::Buffered(buffer.take()));
             };
@@ -218,3 +219,12 @@
         Some(hasher.finish())
     })
 }
+
+/// Returns why a body is late: its client is slow, unless bytes of it have arrived and are not read.
+fn late_body(connection: &ClientConnection) -> InvalidRequest {
+    if connection.has_unread() {
+        InvalidRequest::BodyUnread
+    } else {
+        InvalidRequest::BodyTimedOut
+    }
+}
--- a/tests/proxy/overload.rs
+++ b/tests/proxy/overload.rs
@@ -449,3 +449,39 @@
         drop(new);
     }
 }
+
+/// Guards against slow uploads that are answered as if their clients were late, because there is no memory to read what
+/// they have sent.
+#[test]
+fn slow_uploads_that_cannot_be_read_for_lack_of_memory_are_rejected() {
+    const UPLOADS: usize = 70;
+    let plays = [12, 14, 16, 18, 20].map(|memory_mb| {
+        thread::spawn(move || {
+            let name = format!("slow-unread-{memory_mb}");
+            let discovery = Discovery::start();
+            let backend = Backend::start(|_| ok("there"));
+            let mut config = config(&name, &discovery);
+            config["limits"]["memory_mb"] = memory_mb.into();
+            config["limits"]["sockets"] = 256.into();
+            let proxy = Proxy::start_with_config(&name, config);
+            discovery.publish_and_wait(true, &[active_endpoint("s-1", backend.address)]);
+            let address = proxy.address;
+            let uploads: Vec<_> = (0..UPLOADS)
+                .map(|i| thread::spawn(move || send_slowly(address, &format!("unread-{i}"))))
+                .collect();
+            let statuses: Vec<_> = uploads
+                .into_iter()
+                .map(|upload| upload.join().expect("no upload has panicked"))
+                .collect();
+            assert!(
+                !statuses.contains(&Some(408)),
+                "{memory_mb} MB: {statuses:?}"
+            );
+        })
+    });
+    let failed = plays
+        .into_iter()
+        .filter_map(|play| play.join().err())
+        .count();
+    assert_eq!(failed, 0, "plays with late bodies");
+}
